Build one path from end to end in the workspace's shape

Cause: the project had no code. Change: a workspace of small libraries with import contracts, the core types, signed bundles in a store that speaks the JSON gateway shape of etcd v3, an entry daemon that checks keys, matches routes and forwards, the operators' publish command, stand-ins, and the design page. Conclusion: each decision library can now grow behind its interface.

--- /dev/null
+++ b/libraries/audit/shallotspindle_audit/__init__.py
@@ -0,0 +1,1 @@
+"""Hash-chained audit records."""
--- /dev/null
+++ b/libraries/bench/shallotspindle_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/libraries/bench/shallotspindle_bench/main.py
@@ -0,0 +1,10 @@
+"""The load and experiment tool."""
+
+from cyclopts import App
+
+app = App(name="shallotspindle-bench", help="Load and experiment tool.")
+
+
+def run() -> None:
+    """Entry point of the console script."""
+    app()
--- /dev/null
+++ b/libraries/bundles/shallotspindle_bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Bundle records, checks, differences, manifests and signatures."""
--- /dev/null
+++ b/libraries/bundles/shallotspindle_bundles/manifests.py
@@ -0,0 +1,83 @@
+"""The manifest: the one value whose replacement accepts a bundle.
+
+A manifest names the chunks of a bundle by digest and carries the signature of the
+person who signed it off. An instance never replaces a manifest by an older one.
+"""
+
+import hashlib
+from dataclasses import dataclass, replace
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+
+from shallotspindle_core.failures import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class SignatureFailure(Failure):
+    """The signature of a statement is not valid or not by a known person."""
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """Description of an accepted bundle.
+
+    :param version: version of the bundle.
+    :param parent: version that it replaces; 0 for the first one.
+    :param signer: name of the person who signed it off.
+    :param attempt: random text that lets a writer recognise its own write.
+    :param chunks: SHA-256 digests of the chunks in hex, in order.
+    :param signature: Ed25519 signature over the other fields, 64 bytes.
+    """
+
+    version: int
+    parent: int
+    signer: str
+    attempt: str
+    chunks: tuple[str, ...]
+    signature: bytes = b""
+
+
+def describe_signed(manifest: Manifest) -> bytes:
+    """Return the bytes that the signature covers."""
+    fields = (
+        "shallotspindle manifest",
+        str(manifest.version),
+        str(manifest.parent),
+        manifest.signer,
+        manifest.attempt,
+        *manifest.chunks,
+    )
+    return "\n".join(fields).encode()
+
+
+def digest_chunk(chunk: bytes) -> str:
+    """Return the name under which a chunk is stored."""
+    return hashlib.sha256(chunk).hexdigest()
+
+
+def sign(manifest: Manifest, key: Ed25519PrivateKey) -> Manifest:
+    """Return the manifest with the signature of the key's owner."""
+    return replace(manifest, signature=key.sign(describe_signed(manifest)))
+
+
+def verify(
+    manifest: Manifest, signers: dict[str, Ed25519PublicKey]
+) -> SignatureFailure | None:
+    """Check the signature of a manifest.
+
+    :param signers: public keys of the persons who may sign, by name.
+    :returns: the failure, or None when the signature is valid.
+    """
+    source = f"manifest {manifest.version}"
+    key = signers.get(manifest.signer)
+    if key is None:
+        return SignatureFailure(source, "the signer is not known", manifest.signer)
+    try:
+        key.verify(manifest.signature, describe_signed(manifest))
+    except InvalidSignature:
+        return SignatureFailure(source, "the signature does not match", manifest.signer)
+    return None
--- /dev/null
+++ b/libraries/core/shallotspindle_core/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, clock and random source interfaces, failures and hashing."""
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy daemon."""
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/tasks.py
@@ -0,0 +1,66 @@
+"""Tasks that own their state and talk by messages.
+
+A task handles the messages of its inbox one at a time, so that it is the only
+writer of its state. Other tasks send a message and may await the reply.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from absl import logging
+from aiomisc import Service
+
+
+@dataclass(slots=True)
+class Envelope:
+    """A message with the place of its reply.
+
+    :param reply: resolved with the handler's result; None when nobody waits.
+    """
+
+    message: Any
+    reply: asyncio.Future | None
+
+
+class Task(Service):
+    """Service with an inbox; subclasses implement ``handle``."""
+
+    def __init__(self, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self._inbox: asyncio.Queue[Envelope] = asyncio.Queue()
+
+    async def handle(self, message: Any) -> Any:
+        """Act on one message and return the reply."""
+        raise NotImplementedError
+
+    def tell(self, message: Any) -> None:
+        """Send a message without awaiting a reply."""
+        self._inbox.put_nowait(Envelope(message, None))
+
+    async def ask(self, message: Any) -> Any:
+        """Send a message and await the reply."""
+        reply = asyncio.get_running_loop().create_future()
+        self._inbox.put_nowait(Envelope(message, reply))
+        return await reply
+
+    async def prepare(self) -> None:
+        """Open sockets and start helpers before the first message."""
+
+    async def start(self) -> None:
+        await self.prepare()
+        self.start_event.set()
+        while True:
+            envelope = await self._inbox.get()
+            await self._process(envelope)
+
+    async def _process(self, envelope: Envelope) -> None:
+        try:
+            result = await self.handle(envelope.message)
+        except Exception as error:
+            logging.exception("%s failed to handle a message", type(self).__name__)
+            if envelope.reply is not None and not envelope.reply.done():
+                envelope.reply.set_exception(error)
+            return
+        if envelope.reply is not None and not envelope.reply.done():
+            envelope.reply.set_result(result)
--- /dev/null
+++ b/libraries/health/shallotspindle_health/__init__.py
@@ -0,0 +1,1 @@
+"""Outlier detection, ejections and capacity floors."""
--- /dev/null
+++ b/libraries/idempotency/shallotspindle_idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys and their outcomes."""
--- /dev/null
+++ b/libraries/keys/shallotspindle_keys/__init__.py
@@ -0,0 +1,1 @@
+"""Lookup of callers' keys and withdrawals."""
--- /dev/null
+++ b/libraries/keys/shallotspindle_keys/directory_test.py
@@ -0,0 +1,29 @@
+from shallotspindle_keys import digests, directory
+
+SALT = b"0123456789abcdef"
+
+
+def build(withdrawn=frozenset()):
+    first = digests.digest_key(SALT, "key-one")
+    second = digests.digest_key(SALT, "key-two")
+    return directory.build_directory(
+        SALT, [("museum", [first]), ("dealer", [second])], withdrawn
+    )
+
+
+class TestDirectory:
+    def test_each_key_finds_its_own_team(self):
+        # Guards against a request that runs for another team.
+        assert directory.find_team(build(), "key-one") == "museum"
+        assert directory.find_team(build(), "key-two") == "dealer"
+
+    def test_unknown_key_finds_none(self):
+        found = directory.find_team(build(), "key-three")
+        assert isinstance(found, directory.UnknownKey)
+        assert "key-three" not in str(found)
+
+    def test_withdrawn_key_finds_none(self):
+        # Guards against a withdrawal that leaves the key working.
+        withdrawn = frozenset({digests.digest_key(SALT, "key-one")})
+        found = directory.find_team(build(withdrawn), "key-one")
+        assert isinstance(found, directory.UnknownKey)
--- /dev/null
+++ b/libraries/limits/shallotspindle_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of teams over all instances."""
--- /dev/null
+++ b/libraries/membership/shallotspindle_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, heartbeats and the spreading of changes."""
--- /dev/null
+++ b/libraries/model/shallotspindle_model/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the ownership protocol for the model checker."""
--- /dev/null
+++ b/libraries/operations/shallotspindle_operations/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/libraries/ownership/shallotspindle_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Exclusive rights on partitions."""
--- /dev/null
+++ b/libraries/retries/shallotspindle_retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget, backoff and what may be retried."""
--- /dev/null
+++ b/libraries/routing/shallotspindle_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Route matching, choice of an upstream and fair queueing."""
--- /dev/null
+++ b/libraries/settings/shallotspindle_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of settings and bundle files."""
--- /dev/null
+++ b/libraries/standins/shallotspindle_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the store, the instance list and upstreams, with faults."""
--- /dev/null
+++ b/libraries/telemetry/shallotspindle_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON-lines logs and metrics."""
--- /dev/null
+++ b/libraries/wire/shallotspindle_wire/__init__.py
@@ -0,0 +1,1 @@
+"""msgpack messages between instances."""
