--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,9 @@
+"""Lets processes that tests start import this checkout."""
+
+import os
+import sys
+from pathlib import Path
+
+LIBRARIES = sorted(Path(__file__).parent.glob("libraries/*"))
+os.environ["PYTHONPATH"] = os.pathsep.join(map(str, LIBRARIES))
+sys.dont_write_bytecode = True
--- a/libraries/bench/shallotspindle_bench/main.py
+++ b/libraries/bench/shallotspindle_bench/main.py
@@ -8,3 +8,7 @@
 def run() -> None:
     """Entry point of the console script."""
     app()
+
+
+if __name__ == "__main__":
+    run()
--- a/libraries/entry/shallotspindle_entry/main.py
+++ b/libraries/entry/shallotspindle_entry/main.py
@@ -92,3 +92,7 @@
 def run() -> None:
     """Entry point of the console script."""
     app()
+
+
+if __name__ == "__main__":
+    run()
--- a/libraries/operations/shallotspindle_operations/main.py
+++ b/libraries/operations/shallotspindle_operations/main.py
@@ -65,3 +65,7 @@
 def run() -> None:
     """Entry point of the console script."""
     app()
+
+
+if __name__ == "__main__":
+    run()
--- a/libraries/standins/shallotspindle_standins/main.py
+++ b/libraries/standins/shallotspindle_standins/main.py
@@ -59,3 +59,7 @@
 def run() -> None:
     """Entry point of the console script."""
     app()
+
+
+if __name__ == "__main__":
+    run()
