Serve callers through a pipeline of checks and decisions

Cause: the thin path forwarded without deadlines, retries, idempotency keys or checks of framing, and could pass a late answer to the next caller. A connection that holds unexpected data is not reused: aiohttp's own pool hands it out. Ruled out: closing every connection after use, 1 ms a request.

--- a/libraries/bundles/shallotspindle_bundles/records.py
+++ b/libraries/bundles/shallotspindle_bundles/records.py
@@ -68,6 +68,8 @@
     :param methods: HTTP methods; empty means all.
     :param open: whether requests run without a key.
     :param idempotent_methods: methods that may be sent twice without a second effect.
+    :param idempotency_key: ``required`` or ``optional`` for the other methods.
+    :param team: team that requests of an open route count against.
     :param timeout: longest time for a request, in seconds.
     """
 
@@ -80,6 +82,8 @@
     idempotent_methods: frozenset[str] = frozenset(
         {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"}
     )
+    idempotency_key: str = "optional"
+    team: str = ""
     timeout: float = 30.0
 
 
--- a/libraries/entry/shallotspindle_entry/administration.py
+++ b/libraries/entry/shallotspindle_entry/administration.py
@@ -1,38 +1,71 @@
-"""Liveness, readiness and state for the platform and operators."""
+"""Liveness, readiness, metrics and state for the platform and operators."""
 
+import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
-from aiomisc.service.aiohttp import AIOHTTPService
+from aiomisc import Service
 
-from shallotspindle_entry.configuration import ConfigurationTask
+Answer = Callable[[], tuple[int, Any]]
+Receiver = Callable[[bytes], Awaitable[tuple[int, Any]]]
 
 
-class Administration(AIOHTTPService):
-    """HTTP server for the balancer and operators."""
+class Administration(Service):
+    """HTTP server for the balancer, the metrics' collector and operators.
+
+    :param listener: listening socket.
+    :param render_metrics: returns the metrics' text and its headers.
+    """
 
     def __init__(
-        self, name: str, configuration: ConfigurationTask, **kwargs: Any
+        self,
+        listener: socket.socket,
+        render_metrics: Callable[[], tuple[bytes, dict[str, str]]],
+        **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
-        self._name = name
-        self._configuration = configuration
+        self._listener = listener
+        self._render_metrics = render_metrics
+        self._application = web.Application()
+        self._application.router.add_get("/live", self.answer_live)
+        self._application.router.add_get("/metrics", self.answer_metrics)
+
+    def add_answer(self, path: str, answer: Answer) -> None:
+        """Offer a state as JSON.
+
+        :param answer: returns the status and the value.
+        """
+
+        async def handle(request: web.Request) -> web.Response:
+            status, value = answer()
+            return web.json_response(value, status=status)
+
+        self._application.router.add_get(path, handle)
+
+    def add_receiver(self, path: str, receiver: Receiver) -> None:
+        """Accept statements.
 
-    async def create_application(self) -> web.Application:
-        application = web.Application()
-        application.router.add_get("/live", self.answer_live)
-        application.router.add_get("/ready", self.answer_ready)
-        application.router.add_get("/state", self.answer_state)
-        return application
+        :param receiver: gets the body, returns the status and the value to answer.
+        """
+
+        async def handle(request: web.Request) -> web.Response:
+            status, value = await receiver(await request.read())
+            return web.json_response(value, status=status)
+
+        self._application.router.add_post(path, handle)
+
+    async def start(self) -> None:
+        self._runner = web.AppRunner(self._application, access_log=None)
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._listener).start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        await self._runner.cleanup()
 
     async def answer_live(self, request: web.Request) -> web.Response:
         return web.Response(text="live\n")
 
-    async def answer_ready(self, request: web.Request) -> web.Response:
-        ready = self._configuration.current.bundle.version > 0
-        text = "ready\n" if ready else "no bundle is in force\n"
-        return web.Response(status=200 if ready else 503, text=text)
-
-    async def answer_state(self, request: web.Request) -> web.Response:
-        version = self._configuration.current.bundle.version
-        return web.json_response({"instance": self._name, "bundle": version})
+    async def answer_metrics(self, request: web.Request) -> web.Response:
+        body, headers = self._render_metrics()
+        return web.Response(body=body, headers=headers)
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/bodies.py
@@ -0,0 +1,96 @@
+"""Bodies of callers' requests.
+
+A short body is kept, so that it can be sent again; a long one is streamed with at
+most ``STREAM_CHUNK_BYTES`` in memory besides the buffers of the sockets.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from shallotspindle_core.failures import Failure, FailureError
+
+STREAM_CHUNK_BYTES = 64 * 1024
+KEPT_BYTES = 64 * 1024
+KEYED_BYTES = 256 * 1024
+IDLE_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class SlowCaller(Failure):
+    """The caller sent no part of the body for too long."""
+
+
+class Body:
+    """The body of one request.
+
+    :param request: the request, whose body was not read yet.
+    """
+
+    def __init__(self, request: web.Request) -> None:
+        self._content = request.content
+        self._exists = request.body_exists
+        self._prefix = b""
+        self._complete = not request.body_exists
+        self._streaming = False
+        self.failed = False
+
+    @property
+    def exists(self) -> bool:
+        """Whether the request has a body."""
+        return self._exists
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole body is kept."""
+        return self._complete
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the body can be sent from its start."""
+        return self._complete or not self._streaming
+
+    async def _read(self) -> bytes:
+        try:
+            async with asyncio.timeout(IDLE_SECONDS):
+                chunk = await self._content.read(STREAM_CHUNK_BYTES)
+        except TimeoutError as error:
+            self.failed = True
+            failure = SlowCaller("caller", "no part of the body arrived in time")
+            raise FailureError(failure) from error
+        except Exception:
+            self.failed = True
+            raise
+        if not chunk and self._content.at_eof():
+            self._complete = self._complete or not self._streaming
+        return chunk
+
+    async def keep(self, limit: int) -> None:
+        """Read the start of the body into memory.
+
+        :param limit: number of bytes after which reading stops.
+        """
+        parts = [self._prefix]
+        size = len(self._prefix)
+        while not self._complete and size <= limit:
+            chunk = await self._read()
+            parts.append(chunk)
+            size += len(chunk)
+        self._prefix = b"".join(parts)
+
+    def digest(self) -> bytes:
+        """Return the SHA-256 digest of the kept part, 32 bytes."""
+        return hashlib.sha256(self._prefix).digest()
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start."""
+        if self._prefix:
+            yield self._prefix
+        if self._complete:
+            return
+        self._streaming = True
+        while chunk := await self._read():
+            yield chunk
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -0,0 +1,145 @@
+"""A front end on loopback before scripted upstreams, for the tests of the edge."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from shallotspindle_bundles.records import Bundle, Route, Service, Team, Upstream
+from shallotspindle_entry import configuration, standalone
+from shallotspindle_entry.configuration import Configuration
+from shallotspindle_entry.execution import Executor
+from shallotspindle_entry.forwarding import Forwarder
+from shallotspindle_entry.frontend import Frontend
+from shallotspindle_entry.gate import Gate
+from shallotspindle_entry.lifecycle import Lifecycle
+from shallotspindle_entry.pipeline import Pipeline
+from shallotspindle_keys import digests
+from shallotspindle_platform.clock import SystemClock
+from shallotspindle_telemetry.metrics import RequestMetrics
+
+SALT = b"0123456789abcdef"
+KEY = "museum-key"
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class ScriptedUpstream:
+    """Answers each connection with the next script and keeps what it received."""
+
+    scripts: list[Script] = field(default_factory=list)
+    received: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        script = self.scripts[min(self.connections, len(self.scripts) - 1)]
+        self.connections += 1
+        try:
+            await script(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.ended.set()
+            writer.close()
+
+    async def read_head(self, reader: asyncio.StreamReader) -> bytes:
+        """Read and keep the head of a request."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.received.append(head)
+        return head
+
+    def answer(self, *answers: bytes) -> Script:
+        """Return a script that answers one request after the other."""
+
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            for answer in answers:
+                await self.read_head(reader)
+                writer.write(answer)
+                await writer.drain()
+
+        return run
+
+
+@dataclass
+class FixedConfiguration:
+    """Stands for the configuration task."""
+
+    current: Configuration
+
+
+@dataclass
+class Edge:
+    """A running front end.
+
+    :param port: port for callers.
+    """
+
+    port: int
+    upstream: ScriptedUpstream
+    lifecycle: Lifecycle
+    frontend: Frontend
+
+    async def send(self, data: bytes) -> bytes:
+        """Send raw bytes and return all that comes back until the end."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        parts = []
+        try:
+            while part := await reader.read(65536):
+                parts.append(part)
+        except ConnectionError:
+            parts.append(b"<reset>")
+        writer.close()
+        return b"".join(parts)
+
+    async def get(self, path: str = "/records/1", *extra: str) -> bytes:
+        """Send a GET with the key on a connection of its own."""
+        lines = [f"GET {path} HTTP/1.1", "Host: shop.test", "Connection: close"]
+        lines += [f"Authorization: Bearer {KEY}", *extra, "", ""]
+        return await self.send("\r\n".join(lines).encode())
+
+
+def build_bundle(address: str) -> Bundle:
+    team = Team("museum", 100.0, 100.0, (digests.digest_key(SALT, KEY),))
+    upstreams = tuple(Upstream(f"catalogue-{n}", address, "a") for n in range(3))
+    routes = (
+        Route("records", "/records", "catalogue", timeout=600.0),
+        Route("deposits", "/deposits", "catalogue", idempotency_key="required"),
+        Route("open", "/open", "catalogue", open=True),
+    )
+    service = Service("catalogue", upstreams)
+    return Bundle(1, SALT, {"museum": team}, {"catalogue": service}, routes)
+
+
+@pytest.fixture
+async def edge():
+    upstream = ScriptedUpstream()
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    current = configuration.build_configuration(build_bundle(f"127.0.0.1:{port}"))
+    tasks = FixedConfiguration(current)
+    clock = SystemClock()
+    lifecycle = Lifecycle()
+    forwarder = Forwarder()
+    balancer = standalone.LocalBalancer(tasks, random.Random(1))
+    executor = Executor(balancer, forwarder, clock, random.Random(1))
+    gate = Gate(clock, standalone.AlwaysFresh())
+    claims = standalone.LocalClaims()
+    admission = standalone.UnlimitedAdmission()
+    pipeline = Pipeline(tasks, gate, admission, claims, executor, lifecycle)
+    listener = socket.create_server(("127.0.0.1", 0))
+    frontend = Frontend(pipeline, lifecycle, RequestMetrics(), listener)
+    await forwarder.start()
+    await frontend.start()
+    yield Edge(listener.getsockname()[1], upstream, lifecycle, frontend)
+    await frontend.stop()
+    await forwarder.stop()
+    server.close()
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -0,0 +1,193 @@
+"""One attempt to run a request at an upstream.
+
+The caller gets an answer only from its first byte to its last: an answer that is cut
+short aborts the caller's connection, and one that names another request is dropped.
+"""
+
+from collections.abc import AsyncIterator, Awaitable
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import web
+
+from shallotspindle_bundles.records import Upstream
+from shallotspindle_core.clock import Clock
+from shallotspindle_core.failures import Failure, FailureError
+from shallotspindle_entry import headers
+from shallotspindle_entry.bodies import STREAM_CHUNK_BYTES
+from shallotspindle_entry.calls import Call
+from shallotspindle_entry.forwarding import Forwarder
+from shallotspindle_entry.headers import Origin
+from shallotspindle_entry.interfaces import Result, Sample, StoredResponse
+
+STORED_BYTES = 64 * 1024
+BODILESS_STATUSES = frozenset({204, 304})
+SERVER_ERROR = 500
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class CrossedAnswer(Failure):
+    """The answer names another request."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnframedAnswer(Failure):
+    """The answer does not state its length, so that a cut would not show."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """How an attempt went.
+
+    :param response: what the caller got, if anything was sent to it.
+    :param stored: the whole answer, if it is short enough to be kept.
+    :param not_run: whether the upstream certainly did not run the request.
+    """
+
+    result: Result
+    response: web.StreamResponse | None = None
+    stored: StoredResponse | None = None
+    not_run: bool = False
+    load: float | None = None
+    draining: bool = False
+    seconds: float = 0.0
+
+    def describe(self) -> Sample:
+        """Return what the attempt says about the upstream."""
+        return Sample(self.result, self.seconds, self.load, self.draining)
+
+
+def check_answer(answer: aiohttp.ClientResponse, call: Call) -> None:
+    """Refuse an answer that may not be the whole answer to this request."""
+    named = answer.headers.get(headers.REQUEST_ID)
+    if named is not None and named != call.request_id:
+        raise FailureError(
+            CrossedAnswer("upstream", "the answer is for another", named)
+        )
+    bodiless = call.method == "HEAD" or answer.status in BODILESS_STATUSES
+    framed = answer.content_length is not None or answer.headers.get(
+        "Transfer-Encoding"
+    )
+    if not bodiless and not framed:
+        raise FailureError(UnframedAnswer("upstream", "the answer has no length"))
+
+
+class Exchange:
+    """Sends one request to one upstream and streams the answer to the caller."""
+
+    def __init__(
+        self, forwarder: Forwarder, clock: Clock, request: web.Request, call: Call
+    ) -> None:
+        self._forwarder = forwarder
+        self._clock = clock
+        self._request = request
+        self._call = call
+        scheme = "https" if request.secure else "http"
+        self._origin = Origin(request.remote or "unknown", request.host, scheme)
+
+    async def run(self, upstream: Upstream, seconds: float) -> Attempt:
+        """Run the attempt.
+
+        :param seconds: time that is left until the deadline.
+        """
+        attempt = Attempt(Result.CANCELLED)
+        started = self._clock.boottime()
+        try:
+            await self._transfer(upstream, seconds, attempt)
+        except (aiohttp.ClientError, TimeoutError, OSError, FailureError) as error:
+            self._classify(error, attempt)
+            if attempt.response is not None:
+                self._abort_caller()
+        finally:
+            attempt.seconds = self._clock.boottime() - started
+        return attempt
+
+    async def _transfer(
+        self, upstream: Upstream, seconds: float, attempt: Attempt
+    ) -> None:
+        call = self._call
+        sent = headers.build_upstream_headers(
+            self._request.headers, self._origin, call.request_id, seconds
+        )
+        async with self._forwarder.open(
+            upstream,
+            call.method,
+            call.target,
+            sent,
+            self._build_body(),
+            seconds,
+            call.idempotent,
+        ) as answer:
+            attempt.load = headers.read_load(answer.headers)
+            attempt.draining = headers.is_draining(answer.headers)
+            check_answer(answer, call)
+            if answer.status == UNAVAILABLE:
+                attempt.not_run = headers.says_not_run(answer.headers)
+                if attempt.not_run or call.idempotent:
+                    attempt.result = Result.SHED
+                    await answer.read()
+                    return
+            await self._relay(answer, attempt)
+
+    def _build_body(self) -> AsyncIterator[bytes] | None:
+        if not self._call.body.exists:
+            return None
+        return self._call.body.iterate()
+
+    async def _relay(self, answer: aiohttp.ClientResponse, attempt: Attempt) -> None:
+        kept = headers.copy_end_to_end(answer.headers)
+        kept[headers.REQUEST_ID] = self._call.request_id
+        response = web.StreamResponse(
+            status=answer.status, reason=answer.reason, headers=kept
+        )
+        attempt.response = response
+        gone = not await self._write(response.prepare(self._request))
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in answer.content.iter_chunked(STREAM_CHUNK_BYTES):
+            size += len(chunk)
+            if self._call.keyed and size <= STORED_BYTES:
+                parts.append(chunk)
+            if not gone:
+                gone = not await self._write(response.write(chunk))
+        if not gone:
+            await self._write(response.write_eof())
+        attempt.result = Result.WHOLE
+        if answer.status >= SERVER_ERROR:
+            attempt.result = Result.ERROR
+        if self._call.keyed and size <= STORED_BYTES:
+            fields = tuple((k, v) for k, v in kept.items())
+            attempt.stored = StoredResponse(answer.status, fields, b"".join(parts))
+
+    async def _write(self, writing: Awaitable[None]) -> bool:
+        """Write to the caller; work with an effect goes on when the caller is gone."""
+        try:
+            await writing
+        except ConnectionError:
+            if self._call.idempotent:
+                raise
+            return False
+        return True
+
+    def _classify(self, error: Exception, attempt: Attempt) -> None:
+        if self._call.body.failed:
+            # The caller cut its own request; the upstream is not at fault.
+            attempt.result = Result.CANCELLED
+        elif isinstance(
+            error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+        ):
+            attempt.result = Result.NOT_CONNECTED
+            attempt.not_run = True
+        elif isinstance(error, TimeoutError):
+            attempt.result = Result.TIMED_OUT
+        elif isinstance(error, aiohttp.ClientPayloadError | FailureError):
+            attempt.result = Result.TRUNCATED
+        elif isinstance(error, ConnectionError) and attempt.response is not None:
+            attempt.result = Result.CANCELLED
+        else:
+            attempt.result = Result.RESET
+
+    def _abort_caller(self) -> None:
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- a/libraries/entry/shallotspindle_entry/forwarding.py
+++ b/libraries/entry/shallotspindle_entry/forwarding.py
@@ -1,36 +1,62 @@
-"""Task that owns the connections to upstreams."""
+"""Connections to upstreams.
+
+A connection is used again only after a whole answer, and only while nothing arrived
+on it in between: a late answer would go to the next caller. Requests that must not
+run twice get a connection of their own, because the end of an idle connection and
+the arrival of a request can cross.
+"""
 
-from collections import Counter
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
+from aiohttp.connector import Connection
 from aiomisc import Service
 
 from shallotspindle_bundles.records import Upstream
-from shallotspindle_core.identifiers import UpstreamName
 
+CONNECT_TIMEOUT_SECONDS = 1.0
+READ_BUFFER_BYTES = 64 * 1024
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """Connector that reuses no connection on which unexpected data arrived."""
+
+    async def _get(self, key: Any, traces: list[Any]) -> Connection | None:
+        while (found := await super()._get(key, traces)) is not None:
+            if found.protocol is not None and not found.protocol.should_close:
+                return found
+            found.close()
+        return None
 
-class Forwarder(Service):
-    """Sends requests to upstreams and counts those in flight."""
 
-    def __init__(self, **kwargs: Any) -> None:
-        super().__init__(**kwargs)
-        self.in_flight: Counter[UpstreamName] = Counter()
+def open_session(force_close: bool) -> aiohttp.ClientSession:
+    """Open a client that follows no redirect and sends nothing twice."""
+    session = aiohttp.ClientSession(
+        auto_decompress=False,
+        connector=CheckedConnector(limit=0, force_close=force_close),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=READ_BUFFER_BYTES,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
+    )
+    # aiohttp sends idempotent methods again by itself; retries have a budget here.
+    session._retry_connection = False
+    return session
+
+
+class Forwarder(Service):
+    """Owns the connections to upstreams."""
 
     async def start(self) -> None:
-        self._session = aiohttp.ClientSession(
-            auto_decompress=False,
-            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._shared = open_session(force_close=False)
+        self._single = open_session(force_close=True)
 
     async def stop(self, exception: Exception | None = None) -> None:
-        await self._session.close()
+        await self._shared.close()
+        await self._single.close()
 
-    @asynccontextmanager
-    async def open(
+    def open(
         self,
         upstream: Upstream,
         method: str,
@@ -38,22 +64,21 @@
         headers: Mapping[str, str],
         body: AsyncIterator[bytes] | None,
         timeout: float,
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send a request and yield the response while its body is open.
+        idempotent: bool,
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Send a request; the context holds the answer while its body is open.
 
         :param target: path and query, already encoded.
         :param timeout: longest time for the whole exchange, in seconds.
         """
-        self.in_flight[upstream.name] += 1
-        try:
-            async with self._session.request(
-                method,
-                f"http://{upstream.address}{target}",
-                headers=headers,
-                data=body,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(total=timeout),
-            ) as response:
-                yield response
-        finally:
-            self.in_flight[upstream.name] -= 1
+        session = self._shared if idempotent else self._single
+        return session.request(
+            method,
+            aiohttp.client.URL(f"http://{upstream.address}{target}", encoded=True),
+            headers=headers,
+            data=body,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout, sock_connect=CONNECT_TIMEOUT_SECONDS
+            ),
+        )
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -1,116 +1,143 @@
-"""Serves callers: takes a request through the decisions and streams the answer."""
+"""HTTP server for callers."""
 
+import asyncio
+import socket
+import ssl
 import uuid
-from collections.abc import Sequence
 from typing import Any
 
-import aiohttp
-from aiohttp import web
-from aiomisc.service.aiohttp import AIOHTTPService
+from absl import logging
+from aiohttp import web, web_protocol
+from aiomisc import Service
 
-from shallotspindle_bundles.records import Route, Upstream
-from shallotspindle_core.randomness import RandomSource
-from shallotspindle_entry import headers, problems
-from shallotspindle_entry.configuration import ConfigurationTask
-from shallotspindle_entry.forwarding import Forwarder
-from shallotspindle_entry.problems import Outcome, Problem
-from shallotspindle_keys import directory
-from shallotspindle_routing import choice, routes
+from shallotspindle_entry import problems
+from shallotspindle_entry.lifecycle import Lifecycle, Stage
+from shallotspindle_entry.pipeline import CALL, PROBLEM, Pipeline
+from shallotspindle_telemetry.metrics import RequestMetrics
 
-STREAM_CHUNK_BYTES = 64 * 1024
-
-NOT_READY = Problem(
-    503, "not-ready", "No bundle is in force yet", Outcome.NOT_RUN, retry_after=1
-)
-NO_ROUTE = Problem(404, "no-route", "No route matches", Outcome.NOT_RUN)
-NO_KEY = Problem(401, "unknown-key", "The key is not accepted", Outcome.NOT_RUN)
-NO_UPSTREAM = Problem(
-    503, "no-upstream", "No upstream is available", Outcome.NOT_RUN, retry_after=1
-)
-UPSTREAM_FAILED = Problem(
-    502, "upstream-failed", "The upstream did not answer", Outcome.UNKNOWN, True
+FIRST_REQUEST_SECONDS = 10.0
+KEEPALIVE_SECONDS = 75.0
+# Time for which the unread rest of a refused body is taken off the socket.
+LINGERING_SECONDS = 2.0
+READ_BUFFER_BYTES = 64 * 1024
+HEADER_LINE_BYTES = 8190
+SLOW_ANSWER = (
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 
-class Frontend(AIOHTTPService):
-    """HTTP server for callers."""
+class CallerProtocol(web_protocol.RequestHandler):
+    """Connection of a caller that answers malformed requests as problems."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that no handler served.
+
+        The parser's message is neither sent nor logged, since it quotes headers.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has already begun")
+        malformed = 400 <= status < 500
+        if not malformed:
+            logging.error("a request failed: %r", exc)
+        problem = problems.MALFORMED if malformed else problems.INTERNAL
+        response = problems.build_response(problem, uuid.uuid4().hex)
+        response.force_close()
+        return response
+
+
+class Frontend(Service):
+    """Owns the callers' sockets and hands each request to the pipeline.
+
+    :param listener: listening socket.
+    :param tls: context for TLS, or None for plain HTTP.
+    """
 
     def __init__(
         self,
-        configuration: ConfigurationTask,
-        forwarder: Forwarder,
-        random: RandomSource,
+        pipeline: Pipeline,
+        lifecycle: Lifecycle,
+        metrics: RequestMetrics,
+        listener: socket.socket,
+        tls: ssl.SSLContext | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
-        self._configuration = configuration
-        self._forwarder = forwarder
-        self._random = random
+        self._pipeline = pipeline
+        self._lifecycle = lifecycle
+        self._metrics = metrics
+        self._listener = listener
+        self._tls = tls
+        self._unserved: dict[asyncio.Protocol, asyncio.TimerHandle] = {}
 
-    async def create_application(self) -> web.Application:
+    async def start(self) -> None:
         application = web.Application(client_max_size=0)
         application.router.add_route("*", "/{path:.*}", self.serve)
-        return application
+        self._runner = web.AppRunner(application, handler_cancellation=True)
+        await self._runner.setup()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, sock=self._listener, ssl=self._tls, backlog=1024
+        )
 
-    async def serve(self, request: web.Request) -> web.StreamResponse:
-        """Answer one request."""
-        request_id = uuid.uuid4().hex
-        decided = self._decide(request)
-        if isinstance(decided, Problem):
-            return problems.build_response(decided, request_id)
-        route, upstream = decided
-        return await self._forward(request, route, upstream, request_id)
-
-    def _decide(self, request: web.Request) -> tuple[Route, Upstream] | Problem:
-        current = self._configuration.current
-        if current.bundle.version == 0:
-            return NOT_READY
-        host = request.host.partition(":")[0]
-        route = routes.match(current.routes, host, request.path, request.method)
-        if isinstance(route, routes.NoRoute):
-            return NO_ROUTE
-        key = headers.read_key(request.headers)
-        if not route.open:
-            team = directory.find_team(current.keys, key or "")
-            if isinstance(team, directory.UnknownKey):
-                return NO_KEY
-        candidates = self._list_candidates(route)
-        upstream = choice.choose(candidates, self._forwarder.in_flight, self._random)
-        if isinstance(upstream, choice.NoUpstream):
-            return NO_UPSTREAM
-        return route, upstream
-
-    def _list_candidates(self, route: Route) -> Sequence[Upstream]:
-        services = self._configuration.current.bundle.services
-        return [item for item in services[route.service].upstreams if not item.draining]
-
-    async def _forward(
-        self, request: web.Request, route: Route, upstream: Upstream, request_id: str
-    ) -> web.StreamResponse:
-        sent = headers.build_upstream_headers(
-            request.headers, request.host, request.remote or "unknown", request_id
+    async def close_listener(self) -> None:
+        """Accept no more connections; those that are open stay."""
+        self._server.close()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        self._server.close()
+        await self._runner.cleanup()
+
+    def _accept(self) -> asyncio.Protocol:
+        loop = asyncio.get_running_loop()
+        protocol = CallerProtocol(
+            self._runner.server,
+            loop=loop,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            lingering_time=LINGERING_SECONDS,
+            max_line_size=HEADER_LINE_BYTES,
+            max_field_size=HEADER_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+        )
+        self._unserved[protocol] = loop.call_later(
+            FIRST_REQUEST_SECONDS, self._close_slow, protocol
         )
-        body = request.content.iter_chunked(STREAM_CHUNK_BYTES)
-        data = body if request.body_exists else None
-        response: web.StreamResponse | None = None
+        return protocol
+
+    def _close_slow(self, protocol: asyncio.Protocol) -> None:
+        """Close a connection whose first request did not arrive whole in time."""
+        self._unserved.pop(protocol, None)
+        if protocol.transport is not None:
+            protocol.transport.write(SLOW_ANSWER)
+            protocol.transport.close()
+
+    def _mark_served(self, protocol: asyncio.Protocol) -> None:
+        timer = self._unserved.pop(protocol, None)
+        if timer is not None:
+            timer.cancel()
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request and count it."""
+        self._mark_served(request.protocol)
+        self._lifecycle.enter()
         try:
-            async with self._forwarder.open(
-                upstream, request.method, request.raw_path, sent, data, route.timeout
-            ) as answer:
-                response = web.StreamResponse(
-                    status=answer.status,
-                    reason=answer.reason,
-                    headers=headers.copy_end_to_end(answer.headers),
-                )
-                response.headers["X-Request-Id"] = request_id
-                await response.prepare(request)
-                async for chunk in answer.content.iter_chunked(STREAM_CHUNK_BYTES):
-                    await response.write(chunk)
-                await response.write_eof()
-        except (aiohttp.ClientError, TimeoutError):
-            if response is None or not response.prepared:
-                return problems.build_response(UPSTREAM_FAILED, request_id)
-            # A truncated answer must not end like a whole one.
-            if request.transport is not None:
-                request.transport.abort()
+            response = await self._pipeline.serve(request)
+        finally:
+            self._lifecycle.leave()
+        if self._lifecycle.stage is not Stage.RUNNING:
+            response.force_close()
+        call = request.get(CALL)
+        problem = request.get(PROBLEM)
+        self._metrics.count(
+            route=call.route.name if call else "",
+            status=response.status,
+            kind=problem.kind if problem else "",
+        )
         return response
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/gate.py
@@ -0,0 +1,103 @@
+"""Decisions about the caller: route, key, deadline and idempotency key."""
+
+import uuid
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from shallotspindle_bundles.records import Route
+from shallotspindle_core.clock import Clock
+from shallotspindle_core.identifiers import TeamName
+from shallotspindle_entry import checks, deadlines, headers, problems
+from shallotspindle_entry.bodies import Body
+from shallotspindle_entry.calls import Call
+from shallotspindle_entry.configuration import Configuration
+from shallotspindle_entry.interfaces import Freshness
+from shallotspindle_entry.problems import Problem
+from shallotspindle_keys import directory
+from shallotspindle_routing import routes
+
+KEY_LENGTH = 255
+NO_TEAM = TeamName("")
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that stops at the gate.
+
+    :param keyed: whether it names an operation that an earlier request may have run.
+    """
+
+    problem: Problem
+    request_id: str
+    keyed: bool
+
+
+class Gate:
+    """Turns a request into a call or refuses it."""
+
+    def __init__(self, clock: Clock, freshness: Freshness) -> None:
+        self._clock = clock
+        self._freshness = freshness
+
+    def admit(self, request: web.Request, current: Configuration) -> Call | Refusal:
+        """Take the decisions that need no other instance."""
+        request_id = uuid.uuid4().hex
+        keyed = headers.IDEMPOTENCY_KEY in request.headers
+        decided = self._decide(request, current, request_id)
+        if isinstance(decided, Problem):
+            return Refusal(decided, request_id, keyed)
+        return decided
+
+    def _decide(
+        self, request: web.Request, current: Configuration, request_id: str
+    ) -> Call | Problem:
+        problem = checks.find_problem(request)
+        if problem is not None:
+            return problem
+        if current.bundle.version == 0:
+            return problems.NOT_READY
+        host = request.host.partition(":")[0]
+        route = routes.match(current.routes, host, request.path, request.method)
+        if isinstance(route, routes.NoRoute):
+            return problems.NO_ROUTE
+        team = self._find_team(request, current, route)
+        if isinstance(team, Problem):
+            return team
+        return self._build_call(request, route, team, request_id)
+
+    def _find_team(
+        self, request: web.Request, current: Configuration, route: Route
+    ) -> TeamName | Problem:
+        if route.open:
+            return TeamName(route.team)
+        if not self._freshness.is_fresh(self._clock.boottime()):
+            return problems.STALE
+        key = headers.read_key(request.headers)
+        found = directory.find_team(current.keys, key or "")
+        return problems.NO_KEY if isinstance(found, directory.UnknownKey) else found
+
+    def _build_call(
+        self, request: web.Request, route: Route, team: TeamName, request_id: str
+    ) -> Call | Problem:
+        idempotent = request.method in route.idempotent_methods
+        keys = request.headers.getall(headers.IDEMPOTENCY_KEY, ())
+        if len(keys) > 1 or any(not 0 < len(key) <= KEY_LENGTH for key in keys):
+            return problems.BAD_IDEMPOTENCY_KEY
+        if not keys and not idempotent and route.idempotency_key == "required":
+            return problems.KEY_REQUIRED
+        header = request.headers.get(deadlines.TIMEOUT_HEADER)
+        seconds = deadlines.read_timeout(header, route.timeout)
+        if seconds is None:
+            return problems.BAD_TIMEOUT
+        return Call(
+            request_id=request_id,
+            route=route,
+            team=team,
+            method=request.method,
+            target=request.raw_path,
+            key=keys[0] if keys else "",
+            idempotent=idempotent,
+            deadline=self._clock.boottime() + seconds,
+            body=Body(request),
+        )
--- a/libraries/entry/shallotspindle_entry/headers.py
+++ b/libraries/entry/shallotspindle_entry/headers.py
@@ -4,9 +4,17 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from multidict import CIMultiDict
 
+from shallotspindle_entry import deadlines
+
+REQUEST_ID = "X-Request-Id"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+OUTCOME = "Request-Outcome"
+LOAD = "Upstream-Load"
+DRAINING = "Upstream-Draining"
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -20,8 +28,28 @@
         "upgrade",
     }
 )
-# The credentials end at the instance; Host and Forwarded are set anew.
-REPLACED = frozenset({"authorization", "host", "forwarded"})
+# The credentials end at the instance; the others are set anew.
+REPLACED = (
+    "Authorization",
+    "Expect",
+    "Forwarded",
+    "Host",
+    REQUEST_ID,
+    deadlines.TIMEOUT_HEADER,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a request comes from.
+
+    :param caller: IP address of the caller.
+    :param scheme: ``http`` or ``https``.
+    """
+
+    caller: str
+    host: str
+    scheme: str
 
 
 def list_named(headers: Mapping[str, str]) -> frozenset[str]:
@@ -38,25 +66,55 @@
 
 
 def build_upstream_headers(
-    headers: Mapping[str, str], host: str, caller: str, request_id: str
+    headers: Mapping[str, str], origin: Origin, request_id: str, seconds: float
 ) -> CIMultiDict[str]:
     """Return the headers of the request to an upstream.
 
-    :param host: host that the caller asked for.
-    :param caller: IP address of the caller.
+    :param seconds: time that is left until the deadline.
     """
+    key = read_key(headers)
     kept = copy_end_to_end(headers)
     for name in REPLACED:
         kept.popall(name, None)
-    kept["Host"] = host
-    kept["Forwarded"] = f'for="{caller}";host="{host}";proto=http'
-    kept["X-Request-Id"] = request_id
+    if key:
+        # A caller may repeat its key in another header by mistake.
+        leaking = {name for name, value in kept.items() if key in value}
+        for name in leaking:
+            kept.popall(name)
+    kept["Host"] = origin.host
+    kept["Forwarded"] = describe_origin(origin)
+    kept[REQUEST_ID] = request_id
+    kept[deadlines.TIMEOUT_HEADER] = deadlines.format_timeout(seconds)
     return kept
 
 
+def describe_origin(origin: Origin) -> str:
+    """Return the value of the header Forwarded (RFC 7239)."""
+    caller = f"[{origin.caller}]" if ":" in origin.caller else origin.caller
+    return f'for="{caller}";host="{origin.host}";proto={origin.scheme}'
+
+
 def read_key(headers: Mapping[str, str]) -> str | None:
     """Return the key of ``Authorization: Bearer KEY``, or None."""
     scheme, _, key = headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
         return None
     return key.strip()
+
+
+def read_load(headers: Mapping[str, str]) -> float | None:
+    """Return the load that an upstream reports in its answer."""
+    try:
+        return max(0.0, float(headers.get(LOAD, "")))
+    except ValueError:
+        return None
+
+
+def is_draining(headers: Mapping[str, str]) -> bool:
+    """Return whether an upstream says in its answer that it leaves."""
+    return headers.get(DRAINING, "").strip().lower() == "true"
+
+
+def says_not_run(headers: Mapping[str, str]) -> bool:
+    """Return whether an upstream states that it did not run the request."""
+    return headers.get(OUTCOME, "").strip().lower() == "not-run"
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/pipeline.py
@@ -0,0 +1,150 @@
+"""Takes a request from the caller's socket to the answer, one decision a step.
+
+The order is: checks, route, key, rate, idempotency key, upstream. Each step that
+refuses states what is known of the operation.
+"""
+
+import asyncio
+from dataclasses import replace
+
+from aiohttp import web
+
+from shallotspindle_core.failures import FailureError
+from shallotspindle_entry import calls, headers, problems
+from shallotspindle_entry.bodies import KEPT_BYTES, KEYED_BYTES
+from shallotspindle_entry.calls import Call
+from shallotspindle_entry.configuration import ConfigurationTask
+from shallotspindle_entry.execution import Executed, Executor
+from shallotspindle_entry.gate import Gate, Refusal
+from shallotspindle_entry.interfaces import (
+    Admission,
+    Admitted,
+    Claims,
+    ClaimState,
+    LimitExceeded,
+    StoredResponse,
+)
+from shallotspindle_entry.lifecycle import Lifecycle
+from shallotspindle_entry.problems import Problem
+
+CALL = web.RequestKey("call", Call)
+PROBLEM = web.RequestKey("problem", Problem)
+CLAIM_PROBLEMS = {
+    ClaimState.IN_PROGRESS: problems.IN_PROGRESS,
+    ClaimState.COMPLETED: problems.COMPLETED,
+    ClaimState.UNKNOWN: problems.UNKNOWN_OUTCOME,
+    ClaimState.DIFFERENT_BODY: problems.DIFFERENT_BODY,
+    ClaimState.UNAVAILABLE: problems.CLAIM_UNAVAILABLE,
+}
+
+
+def build_replay(stored: StoredResponse, request_id: str) -> web.Response:
+    """Return the first answer to an idempotency key once more."""
+    fields = [(k, v) for k, v in stored.headers if k.lower() != "content-length"]
+    response = web.Response(status=stored.status, headers=fields, body=stored.body)
+    response.headers[headers.REQUEST_ID] = request_id
+    response.headers["Idempotency-Replayed"] = "true"
+    return response
+
+
+class Pipeline:
+    """Serves requests; all state belongs to the tasks that it asks."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationTask,
+        gate: Gate,
+        admission: Admission,
+        claims: Claims,
+        executor: Executor,
+        lifecycle: Lifecycle,
+    ) -> None:
+        self._configuration = configuration
+        self._gate = gate
+        self._admission = admission
+        self._claims = claims
+        self._executor = executor
+        self._lifecycle = lifecycle
+
+    async def serve(self, request: web.Request) -> web.StreamResponse | Problem:
+        """Answer a request; the request id is set on every answer."""
+        admitted = self._gate.admit(request, self._configuration.current)
+        if isinstance(admitted, Refusal):
+            problem = problems.weaken(admitted.problem, admitted.keyed)
+            request[PROBLEM] = problem
+            return problems.build_response(problem, admitted.request_id)
+        request[CALL] = admitted
+        answer = await self._serve_call(admitted, request)
+        if isinstance(answer, Problem):
+            request[PROBLEM] = answer
+            return problems.build_response(answer, admitted.request_id)
+        return answer
+
+    async def _serve_call(
+        self, call: Call, request: web.Request
+    ) -> web.StreamResponse | Problem:
+        refused = await self._acquire(call) or await self._keep_body(call)
+        if refused is not None:
+            return problems.weaken(refused, call.keyed)
+        if call.idempotent:
+            return (await self._executor.run(call, request)).answer
+        if call.keyed:
+            refused = await self._claim(call)
+            if refused is not None:
+                return refused
+        # Work with an effect goes on when the caller leaves: a cut in the middle would
+        # leave its outcome unknown, and a repeat with the key finds the answer.
+        running = asyncio.create_task(self._run_with_effect(call, request))
+        return await asyncio.shield(running)
+
+    async def _acquire(self, call: Call) -> Problem | None:
+        if not call.team:
+            return None
+        answer = await self._admission.acquire(call.team, call.deadline)
+        if isinstance(answer, Admitted):
+            return None
+        if isinstance(answer, LimitExceeded):
+            return replace(problems.RATE_EXCEEDED, retry_after=answer.retry_after)
+        return problems.LIMIT_UNAVAILABLE
+
+    async def _keep_body(self, call: Call) -> Problem | None:
+        try:
+            await call.body.keep(KEYED_BYTES if call.keyed else KEPT_BYTES)
+        except FailureError:
+            return problems.SLOW_CALLER
+        except (ConnectionError, web.RequestPayloadError):
+            return problems.BODY_FAILED
+        if call.keyed and not call.body.complete:
+            return problems.BODY_TOO_LARGE
+        return None
+
+    async def _claim(self, call: Call) -> web.StreamResponse | Problem | None:
+        """Ask for the right to run the call; None means that it was granted."""
+        answer = await self._claims.claim(
+            call.team, call.key, calls.digest_request(call), call.deadline
+        )
+        if answer.state is ClaimState.GRANTED:
+            return None
+        if answer.state is ClaimState.REPLAY and answer.response is not None:
+            return build_replay(answer.response, call.request_id)
+        return CLAIM_PROBLEMS[answer.state]
+
+    async def _run_with_effect(
+        self, call: Call, request: web.Request
+    ) -> web.StreamResponse | Problem:
+        executed: Executed | None = None
+        self._lifecycle.enter()
+        try:
+            executed = await self._executor.run(call, request)
+            return executed.answer
+        finally:
+            self._lifecycle.leave()
+            if call.keyed:
+                await self._report(call, executed)
+
+    async def _report(self, call: Call, executed: Executed | None) -> None:
+        if executed is not None and executed.not_run:
+            await self._claims.abandon(call.team, call.key)
+            return
+        stored = executed.stored if executed else None
+        await self._claims.finish(call.team, call.key, stored)
--- a/libraries/entry/shallotspindle_entry/problems.py
+++ b/libraries/entry/shallotspindle_entry/problems.py
@@ -5,11 +5,14 @@
 """
 
 import json
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from aiohttp import web
 
+from shallotspindle_entry import headers
+
 TYPE_PREFIX = "urn:shallotspindle:problem:"
 
 
@@ -39,6 +42,112 @@
     retry_after: float | None = None
 
 
+MALFORMED = Problem(400, "malformed", "The request is malformed", Outcome.NOT_RUN)
+INTERNAL = Problem(500, "internal", "The instance failed", Outcome.UNKNOWN)
+NOT_READY = Problem(
+    503, "not-ready", "No bundle is in force yet", Outcome.NOT_RUN, retry_after=1
+)
+NO_ROUTE = Problem(404, "no-route", "No route matches", Outcome.NOT_RUN)
+NO_KEY = Problem(401, "unknown-key", "The key is not accepted", Outcome.NOT_RUN)
+STALE = Problem(
+    503,
+    "stale",
+    "The instance cannot tell whether the key is still valid",
+    Outcome.NOT_RUN,
+    retry_after=2,
+)
+BAD_TIMEOUT = Problem(
+    400, "bad-timeout", "Request-Timeout is not a number of seconds", Outcome.NOT_RUN
+)
+KEY_REQUIRED = Problem(
+    428,
+    "idempotency-key-required",
+    "This route needs an Idempotency-Key",
+    Outcome.NOT_RUN,
+)
+BAD_IDEMPOTENCY_KEY = Problem(
+    400,
+    "bad-idempotency-key",
+    "An Idempotency-Key has 1 to 255 characters and stands once",
+    Outcome.NOT_RUN,
+)
+BODY_TOO_LARGE = Problem(
+    413,
+    "body-too-large",
+    "The body is too large for a request with an Idempotency-Key",
+    Outcome.NOT_RUN,
+)
+BODY_FAILED = Problem(400, "bad-body", "The body did not arrive whole", Outcome.NOT_RUN)
+SLOW_CALLER = Problem(
+    408, "slow-caller", "The body did not arrive in time", Outcome.NOT_RUN
+)
+RATE_EXCEEDED = Problem(
+    429, "rate-exceeded", "The team's rate is used up", Outcome.NOT_RUN
+)
+LIMIT_UNAVAILABLE = Problem(
+    503,
+    "limit-unavailable",
+    "No holder of the team's rate can be reached",
+    Outcome.NOT_RUN,
+    retry_after=2,
+)
+NO_CAPACITY = Problem(
+    503, "no-capacity", "No upstream is available", Outcome.NOT_RUN, retry_after=1
+)
+HELD = Problem(
+    422, "request-held", "The request crashed upstreams before", Outcome.UNKNOWN
+)
+UPSTREAM_FAILED = Problem(
+    502, "upstream-failed", "The upstream did not answer", Outcome.UNKNOWN, True
+)
+UPSTREAM_TIMEOUT = Problem(
+    504, "deadline", "The deadline passed", Outcome.UNKNOWN, True
+)
+IN_PROGRESS = Problem(
+    409,
+    "in-progress",
+    "The request is running",
+    Outcome.IN_PROGRESS,
+    retry_after=1,
+)
+COMPLETED = Problem(
+    409,
+    "completed",
+    "The request ran; its answer is no longer kept",
+    Outcome.COMPLETED,
+)
+UNKNOWN_OUTCOME = Problem(
+    504,
+    "unknown-outcome",
+    "It is not known whether the request ran",
+    Outcome.UNKNOWN,
+)
+DIFFERENT_BODY = Problem(
+    422,
+    "different-body",
+    "The Idempotency-Key was used for another request",
+    Outcome.NOT_RUN,
+)
+CLAIM_UNAVAILABLE = Problem(
+    503,
+    "claim-unavailable",
+    "The holder of the Idempotency-Key cannot be reached",
+    Outcome.UNKNOWN,
+    retry_after=2,
+)
+
+
+def weaken(problem: Problem, keyed: bool) -> Problem:
+    """Return the problem as it may be stated before the key was looked up.
+
+    An earlier request with the same idempotency key may have run, so that
+    ``not-run`` would not be true of the operation.
+    """
+    if keyed and problem.outcome is Outcome.NOT_RUN:
+        return replace(problem, outcome=Outcome.UNKNOWN)
+    return problem
+
+
 def build_response(problem: Problem, request_id: str) -> web.Response:
     """Return the response that states a problem."""
     document = {
@@ -49,12 +158,12 @@
         "attempt": "forwarded" if problem.forwarded else "not-forwarded",
         "request_id": request_id,
     }
-    headers = {"X-Request-Id": request_id}
+    fields = {headers.REQUEST_ID: request_id}
     if problem.retry_after is not None:
-        headers["Retry-After"] = str(max(1, round(problem.retry_after)))
+        fields["Retry-After"] = str(max(1, math.ceil(problem.retry_after)))
     return web.Response(
         status=problem.status,
         body=json.dumps(document).encode(),
         content_type="application/problem+json",
-        headers=headers,
+        headers=fields,
     )
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/standalone.py
@@ -0,0 +1,94 @@
+"""Local forms of the fleet's decisions, for an instance without peers."""
+
+import asyncio
+from collections import Counter
+
+from shallotspindle_core.identifiers import ServiceName, TeamName, UpstreamName
+from shallotspindle_core.randomness import RandomSource
+from shallotspindle_entry.configuration import ConfigurationTask
+from shallotspindle_entry.interfaces import (
+    Admitted,
+    Assignment,
+    ClaimAnswer,
+    ClaimState,
+    NoCapacity,
+    Sample,
+    StoredResponse,
+)
+from shallotspindle_routing import choice
+
+
+class AlwaysFresh:
+    """Freshness of an instance that is told of every withdrawal."""
+
+    def is_fresh(self, now: float) -> bool:
+        return True
+
+
+class UnlimitedAdmission:
+    """Admits every request."""
+
+    async def acquire(self, team: TeamName, deadline: float) -> Admitted:
+        return Admitted()
+
+
+class LocalClaims:
+    """Claims that only this instance knows of."""
+
+    def __init__(self) -> None:
+        self._digests: dict[tuple[TeamName, str], bytes] = {}
+        self._answers: dict[tuple[TeamName, str], StoredResponse | None] = {}
+
+    async def claim(
+        self, team: TeamName, key: str, digest: bytes, deadline: float
+    ) -> ClaimAnswer:
+        known = self._digests.setdefault((team, key), digest)
+        if known != digest:
+            return ClaimAnswer(ClaimState.DIFFERENT_BODY)
+        if (team, key) in self._answers:
+            stored = self._answers[team, key]
+            state = ClaimState.REPLAY if stored else ClaimState.UNKNOWN
+            return ClaimAnswer(state, stored)
+        if known is not digest:
+            return ClaimAnswer(ClaimState.IN_PROGRESS)
+        return ClaimAnswer(ClaimState.GRANTED)
+
+    async def finish(
+        self, team: TeamName, key: str, response: StoredResponse | None
+    ) -> None:
+        self._answers[team, key] = response
+
+    async def abandon(self, team: TeamName, key: str) -> None:
+        self._digests.pop((team, key), None)
+
+
+class LocalBalancer:
+    """Chooses by the requests that this instance has in flight."""
+
+    def __init__(self, configuration: ConfigurationTask, random: RandomSource) -> None:
+        self._configuration = configuration
+        self._random = random
+        self._in_flight: Counter[UpstreamName] = Counter()
+
+    async def assign(
+        self,
+        service: ServiceName,
+        team: TeamName,
+        fingerprint: int,
+        tried: frozenset[UpstreamName],
+        deadline: float,
+    ) -> Assignment | NoCapacity:
+        await asyncio.sleep(0)
+        upstreams = self._configuration.current.bundle.services[service].upstreams
+        candidates = [u for u in upstreams if not u.draining and u.name not in tried]
+        found = choice.choose(candidates, self._in_flight, self._random)
+        if isinstance(found, choice.NoUpstream):
+            return NoCapacity(found.source, found.message)
+        self._in_flight[found.name] += 1
+        return Assignment(found, 0)
+
+    def finish(self, assignment: Assignment, sample: Sample) -> None:
+        self._in_flight[assignment.upstream.name] -= 1
+
+    def may_retry(self, service: ServiceName) -> bool:
+        return True
--- a/libraries/settings/shallotspindle_settings/bundle.py
+++ b/libraries/settings/shallotspindle_settings/bundle.py
@@ -2,6 +2,7 @@
 
 import json
 from pathlib import Path
+from typing import Literal
 
 from expression import Error, Ok, Result
 from pydantic import Field, ValidationError
@@ -41,6 +42,8 @@
     methods: tuple[str, ...] = ()
     open: bool = False
     idempotent_methods: tuple[str, ...] | None = None
+    idempotency_key: Literal["required", "optional"] = "optional"
+    team: str = ""
     timeout: float = Field(default=30.0, gt=0)
 
 
--- a/libraries/settings/shallotspindle_settings/daemon.py
+++ b/libraries/settings/shallotspindle_settings/daemon.py
@@ -24,6 +24,13 @@
     port: int = Field(default=0, ge=0, le=65535)
 
 
+class TlsFiles(Model):
+    """Certificate chain and private key in PEM files."""
+
+    certificate: Path
+    private_key: Path
+
+
 class EntrySettings(Model):
     """Settings of one instance.
 
@@ -37,6 +44,7 @@
     callers: Address = Address()
     administration: Address = Address()
     peers: Address = Address()
+    tls: TlsFiles | None = None
     store_url: str
     instance_list_url: str
     signers: dict[str, str]
