Check, compare and chunk bundles, and pack teams and keys

Cause: a bundle was one text cut at fixed offsets, so one changed team rewrote every chunk, and its records as single objects do not fit into the memory of the control plane at 37,000 teams.

Change: checks are a list of pure functions that return all failures. Differences between bundles are typed changes; a delta carries them from one version to the next. Teams and key digests are kept in arrays for each bucket. Routes have idempotency_key and team.

--- /dev/null
+++ b/libraries/bundles/shallotspindle_bundles/checks.py
@@ -0,0 +1,228 @@
+"""Checks of a bundle: pure functions of one signature that return all failures.
+
+A bundle with any failure is refused as a whole.
+"""
+
+import ipaddress
+import math
+from collections.abc import Callable, Hashable, Iterable, Iterator
+from dataclasses import dataclass
+
+from shallotspindle_bundles.records import Draft, KeyRule, Route, Upstream
+from shallotspindle_core.failures import Failure
+
+DIGEST_BYTES = 32
+SALT_BYTES_MIN = 16
+PORT_MAX = 65_535
+METHODS = frozenset(
+    {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE", "POST", "PATCH"}
+)
+
+Path = tuple[str | int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BundleFailure(Failure):
+    """A record of a bundle is not valid.
+
+    :param path: place of the offending field in the bundle.
+    """
+
+    path: Path = ()
+
+
+Found = Iterator[BundleFailure]
+Check = Callable[[Draft], Found]
+
+
+def build_failure(path: Path, message: str, item: str = "") -> BundleFailure:
+    return BundleFailure(".".join(map(str, path)), message, item, path)
+
+
+def find_repeated(
+    places: Iterable[tuple[Path, Hashable]], message: str, *, secret: bool = False
+) -> Found:
+    """Return a failure for each value that an earlier place has.
+
+    :param secret: whether the value is left out of the failure.
+    """
+    seen = set()
+    for path, value in places:
+        if value in seen:
+            yield build_failure(path, message, "" if secret else str(value))
+        seen.add(value)
+
+
+def list_upstreams(draft: Draft) -> Iterator[tuple[Path, Upstream]]:
+    """Return all upstreams with their places."""
+    for n, service in enumerate(draft.services):
+        for m, upstream in enumerate(service.upstreams):
+            yield ("services", n, "upstreams", m), upstream
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text may be a name: printable and without spaces."""
+    return bool(text) and text.isprintable() and not any(map(str.isspace, text))
+
+
+def check_header(draft: Draft) -> Found:
+    if draft.version < 1:
+        yield build_failure(("version",), "the version is below 1", str(draft.version))
+    if len(draft.salt) < SALT_BYTES_MIN:
+        yield build_failure(("salt",), f"the salt is below {SALT_BYTES_MIN} bytes")
+
+
+def check_names(draft: Draft) -> Found:
+    places = [
+        *((("teams", n, "name"), item.name) for n, item in enumerate(draft.teams)),
+        *((("services", n, "name"), s.name) for n, s in enumerate(draft.services)),
+        *((("routes", n, "name"), item.name) for n, item in enumerate(draft.routes)),
+        *(((*path, "name"), item.name) for path, item in list_upstreams(draft)),
+    ]
+    for path, name in places:
+        if not is_name(name):
+            message = "a name is empty or has spaces or control characters"
+            yield build_failure(path, message, repr(name))
+
+
+def check_repeated_names(draft: Draft) -> Found:
+    teams = ((("teams", n, "name"), item.name) for n, item in enumerate(draft.teams))
+    yield from find_repeated(teams, "the team is listed twice")
+    services = ((("services", n, "name"), s.name) for n, s in enumerate(draft.services))
+    yield from find_repeated(services, "the service is listed twice")
+    routes = ((("routes", n, "name"), item.name) for n, item in enumerate(draft.routes))
+    yield from find_repeated(routes, "the route is listed twice")
+    upstreams = (((*path, "name"), item.name) for path, item in list_upstreams(draft))
+    yield from find_repeated(upstreams, "the upstream is listed twice")
+
+
+def check_rates(draft: Draft) -> Found:
+    for n, team in enumerate(draft.teams):
+        if not (math.isfinite(team.rate) and team.rate > 0):
+            path = ("teams", n, "rate")
+            yield build_failure(path, "the rate is not above 0", str(team.rate))
+        if not (math.isfinite(team.burst) and team.burst >= 1):
+            path = ("teams", n, "burst")
+            yield build_failure(path, "the burst is below 1", str(team.burst))
+
+
+def check_key_digests(draft: Draft) -> Found:
+    places = [
+        (("teams", n, "key_digests", m), digest)
+        for n, team in enumerate(draft.teams)
+        for m, digest in enumerate(team.key_digests)
+    ]
+    withdrawn = [(("withdrawn", n), item) for n, item in enumerate(draft.withdrawn)]
+    for path, digest in (*places, *withdrawn):
+        if len(digest) != DIGEST_BYTES:
+            message = f"the digest of a key has not {DIGEST_BYTES} bytes"
+            yield build_failure(path, message)
+    yield from find_repeated(places, "the key digest is listed twice", secret=True)
+    yield from find_repeated(withdrawn, "the withdrawal is listed twice", secret=True)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``ip:port``; an IPv6 address is in brackets."""
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    try:
+        ipaddress.ip_address(host)
+        return port.isascii() and port.isdecimal() and 0 < int(port) <= PORT_MAX
+    except ValueError:
+        return False
+
+
+def check_upstreams(draft: Draft) -> Found:
+    places = list(list_upstreams(draft))
+    for path, item in places:
+        if not is_address(item.address):
+            message = "the address is not an IP address and a port"
+            yield build_failure((*path, "address"), message, item.address)
+        if not item.domain:
+            yield build_failure(
+                (*path, "failure_domain"), "the failure domain is empty"
+            )
+        if item.slots < 1:
+            message = "the upstream has no slot"
+            yield build_failure((*path, "slots"), message, str(item.slots))
+        if item.connections < 1:
+            message = "the upstream accepts no connection"
+            yield build_failure((*path, "connections"), message, str(item.connections))
+    addresses = (((*path, "address"), item.address) for path, item in places)
+    yield from find_repeated(addresses, "the address is listed twice")
+
+
+def check_floors(draft: Draft) -> Found:
+    for n, service in enumerate(draft.services):
+        count = len(service.upstreams)
+        if not 0 <= service.floor <= count:
+            message = f"the floor is not between 0 and the {count} upstreams"
+            yield build_failure(("services", n, "floor"), message, str(service.floor))
+
+
+def check_routes(draft: Draft) -> Found:
+    services = {service.name for service in draft.services}
+    for n, route in enumerate(draft.routes):
+        place = ("routes", n)
+        if route.service not in services:
+            message = "the route names an unknown service"
+            yield build_failure((*place, "service"), message, route.service)
+        if not route.prefix.startswith("/") or "//" in route.prefix:
+            message = "the prefix does not start with one slash or has an empty segment"
+            yield build_failure((*place, "prefix"), message, route.prefix)
+        if not (math.isfinite(route.timeout) and route.timeout > 0):
+            message = "the timeout is not above 0"
+            yield build_failure((*place, "timeout"), message, str(route.timeout))
+        for name in ("methods", "idempotent_methods"):
+            unknown = ", ".join(sorted(getattr(route, name) - METHODS))
+            if unknown:
+                yield build_failure((*place, name), "unknown HTTP method", unknown)
+
+
+def check_route_teams(draft: Draft) -> Found:
+    teams = {team.name for team in draft.teams}
+    for n, route in enumerate(draft.routes):
+        path = ("routes", n, "team")
+        if route.team and not route.open:
+            yield build_failure(path, "only an open route names a team", route.team)
+        elif route.team and route.team not in teams:
+            yield build_failure(path, "the route names an unknown team", route.team)
+        if route.idempotency_key not in set(KeyRule):
+            message = "the rule is not required or optional"
+            path = ("routes", n, "idempotency_key")
+            yield build_failure(path, message, str(route.idempotency_key))
+
+
+def list_places(route: Route) -> Iterator[tuple[str, str, str]]:
+    """Return what a route occupies: host, prefix and method, ``*`` for all."""
+    for method in sorted(route.methods) or ["*"]:
+        yield route.host, route.prefix.rstrip("/"), method
+
+
+def check_repeated_routes(draft: Draft) -> Found:
+    places = (
+        (("routes", n, "prefix"), place)
+        for n, route in enumerate(draft.routes)
+        for place in list_places(route)
+    )
+    yield from find_repeated(places, "two routes match the same requests")
+
+
+CHECKS: tuple[Check, ...] = (
+    check_header,
+    check_names,
+    check_repeated_names,
+    check_rates,
+    check_key_digests,
+    check_upstreams,
+    check_floors,
+    check_routes,
+    check_route_teams,
+    check_repeated_routes,
+)
+
+
+def check(draft: Draft) -> tuple[BundleFailure, ...]:
+    """Return all failures of a bundle."""
+    return tuple(failure for each in CHECKS for failure in each(draft))
--- /dev/null
+++ b/libraries/bundles/shallotspindle_bundles/differences.py
@@ -0,0 +1,213 @@
+"""Typed differences between two bundles, and their application.
+
+``apply(old, compare(old, new))`` equals ``new`` but for the version.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from shallotspindle_bundles import records, teams
+from shallotspindle_bundles.records import Bundle, Route, Service, Team, Upstream
+from shallotspindle_core.identifiers import ServiceName, TeamName, UpstreamName
+
+Record = TypeVar("Record")
+
+
+@dataclass(frozen=True, slots=True)
+class TeamChange:
+    """A team was added (no ``before``), removed (no ``after``) or changed."""
+
+    name: TeamName
+    before: Team | None
+    after: Team | None
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceChange:
+    """A service was added, removed, or has another floor.
+
+    The records name no upstreams; these have changes of their own.
+    """
+
+    name: ServiceName
+    before: Service | None
+    after: Service | None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChange:
+    """An upstream of a service was added, removed or changed."""
+
+    service: ServiceName
+    name: UpstreamName
+    before: Upstream | None
+    after: Upstream | None
+
+
+@dataclass(frozen=True, slots=True)
+class RouteChange:
+    """A route was added, removed or changed."""
+
+    name: str
+    before: Route | None
+    after: Route | None
+
+
+@dataclass(frozen=True, slots=True)
+class SaltChange:
+    """The digests of all keys have another salt."""
+
+    before: bytes
+    after: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawnChange:
+    """The bundle carries other withdrawals.
+
+    :param added: digests that were added, in order.
+    :param removed: digests that were removed, in order.
+    """
+
+    added: tuple[bytes, ...]
+    removed: tuple[bytes, ...]
+
+
+Change = (
+    TeamChange
+    | ServiceChange
+    | UpstreamChange
+    | RouteChange
+    | SaltChange
+    | WithdrawnChange
+)
+
+
+def pair(
+    before: Mapping[str, Record], after: Mapping[str, Record]
+) -> Iterator[tuple[str, Record | None, Record | None]]:
+    """Return the names whose records differ with both records, ordered by name."""
+    for name in sorted({*before, *after}):
+        old, new = before.get(name), after.get(name)
+        if old != new:
+            yield name, old, new
+
+
+def compare_teams(
+    before: Mapping[TeamName, Team], after: Mapping[TeamName, Team]
+) -> Iterator[TeamChange]:
+    """Compare teams; buckets that both mappings share cost nothing."""
+    if not (isinstance(before, teams.Teams) and isinstance(after, teams.Teams)):
+        yield from (TeamChange(*found) for found in pair(before, after))
+        return
+    changes: list[TeamChange] = []
+    for old, new in zip(before.buckets, after.buckets, strict=True):
+        if old is new or old == new:
+            continue
+        left = {team.name: team for team in teams.unpack_all(old)}
+        right = {team.name: team for team in teams.unpack_all(new)}
+        changes += (TeamChange(*found) for found in pair(left, right))
+    yield from sorted(changes, key=lambda change: change.name)
+
+
+def compare_services(
+    before: Mapping[ServiceName, Service], after: Mapping[ServiceName, Service]
+) -> Iterator[ServiceChange | UpstreamChange]:
+    for name, old, new in pair(before, after):
+        bare_old = replace(old, upstreams=()) if old else None
+        bare_new = replace(new, upstreams=()) if new else None
+        if bare_old != bare_new:
+            yield ServiceChange(name, bare_old, bare_new)
+        left = {item.name: item for item in old.upstreams} if old else {}
+        right = {item.name: item for item in new.upstreams} if new else {}
+        yield from (UpstreamChange(name, *found) for found in pair(left, right))
+
+
+def compare(before: Bundle, after: Bundle) -> tuple[Change, ...]:
+    """Return the changes that lead from one bundle to another, in a fixed order."""
+    changes: list[Change] = []
+    if before.salt != after.salt:
+        changes.append(SaltChange(before.salt, after.salt))
+    changes += compare_services(before.services, after.services)
+    left = {route.name: route for route in before.routes}
+    right = {route.name: route for route in after.routes}
+    changes += (RouteChange(*found) for found in pair(left, right))
+    changes += compare_teams(before.teams, after.teams)
+    if before.withdrawn != after.withdrawn:
+        added = tuple(sorted(after.withdrawn - before.withdrawn))
+        removed = tuple(sorted(before.withdrawn - after.withdrawn))
+        changes.append(WithdrawnChange(added, removed))
+    return tuple(changes)
+
+
+def put(table: dict[str, Record], name: str, record: Record | None) -> None:
+    """Set a record, or remove the name when there is none."""
+    if record is None:
+        table.pop(name, None)
+    else:
+        table[name] = record
+
+
+def apply_services(
+    services: Mapping[ServiceName, Service], changes: Iterable[Change]
+) -> Mapping[ServiceName, Service]:
+    """Return the services after their changes and those of their upstreams."""
+    result = dict(services)
+    upstreams: dict[ServiceName, dict[UpstreamName, Upstream]] = {}
+    for change in changes:
+        if isinstance(change, ServiceChange):
+            old = result.get(change.name)
+            kept = old.upstreams if old else ()
+            after = change.after
+            put(result, change.name, replace(after, upstreams=kept) if after else None)
+        elif isinstance(change, UpstreamChange) and change.service in result:
+            kept = result[change.service].upstreams
+            own = upstreams.setdefault(
+                change.service, {item.name: item for item in kept}
+            )
+            put(own, change.name, change.after)
+    for name, own in upstreams.items():
+        if name in result:
+            result[name] = replace(result[name], upstreams=tuple(own.values()))
+    return result
+
+
+def apply(bundle: Bundle, changes: Iterable[Change], version: int) -> Bundle:
+    """Return the bundle after the changes, under a new version."""
+    changes = tuple(changes)
+    salt, withdrawn = bundle.salt, bundle.withdrawn
+    routes = {route.name: route for route in bundle.routes}
+    changed_teams: dict[TeamName, Team | None] = {}
+    for change in changes:
+        match change:
+            case TeamChange(name=name, after=after):
+                changed_teams[name] = after
+            case RouteChange(name=name, after=after):
+                put(routes, name, after)
+            case SaltChange(after=after):
+                salt = after
+            case WithdrawnChange(added=added, removed=removed):
+                withdrawn = (withdrawn | set(added)) - set(removed)
+    packed = bundle.teams
+    if not isinstance(packed, teams.Teams):
+        packed = teams.build_teams(packed.values())
+    return Bundle(
+        version=version,
+        salt=salt,
+        teams=teams.replace_teams(packed, changed_teams),
+        services=apply_services(bundle.services, changes),
+        routes=records.order_routes(routes.values()),
+        withdrawn=frozenset(withdrawn),
+    )
+
+
+def list_services(changes: Iterable[Change]) -> set[ServiceName]:
+    """Return the names of the services that the changes touch."""
+    names = set()
+    for change in changes:
+        if isinstance(change, ServiceChange):
+            names.add(change.name)
+        elif isinstance(change, UpstreamChange):
+            names.add(change.service)
+    return names
--- a/libraries/bundles/shallotspindle_bundles/records.py
+++ b/libraries/bundles/shallotspindle_bundles/records.py
@@ -4,8 +4,9 @@
 immutable: a change makes a new bundle with a higher version.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from shallotspindle_core.identifiers import (
     FailureDomain,
@@ -60,6 +61,13 @@
     floor: int = 1
 
 
+class KeyRule(StrEnum):
+    """Whether non-idempotent requests need an ``Idempotency-Key``."""
+
+    OPTIONAL = "optional"
+    REQUIRED = "required"
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Maps requests to a service.
@@ -69,6 +77,8 @@
     :param open: whether requests run without a key.
     :param idempotent_methods: methods that may be sent twice without a second effect.
     :param timeout: longest time for a request, in seconds.
+    :param idempotency_key: whether non-idempotent methods need a key.
+    :param team: team that requests of an open route count against, if any.
     """
 
     name: str
@@ -81,6 +91,8 @@
         {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"}
     )
     timeout: float = 30.0
+    idempotency_key: KeyRule = KeyRule.OPTIONAL
+    team: TeamName | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,3 +110,23 @@
     services: Mapping[ServiceName, Service] = field(default_factory=dict)
     routes: tuple[Route, ...] = ()
     withdrawn: frozenset[bytes] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """Content of a bundle as it is listed, before names are known to be unique."""
+
+    version: int
+    salt: bytes
+    teams: Sequence[Team] = ()
+    services: Sequence[Service] = ()
+    routes: Sequence[Route] = ()
+    withdrawn: Sequence[bytes] = ()
+
+
+def order_routes(routes: Iterable[Route]) -> tuple[Route, ...]:
+    """Order routes so that one with methods comes before one for all methods.
+
+    The order depends on the routes only, not on the history of changes.
+    """
+    return tuple(sorted(routes, key=lambda route: (not route.methods, route.name)))
--- /dev/null
+++ b/libraries/bundles/shallotspindle_bundles/teams.py
@@ -0,0 +1,132 @@
+"""Compact mapping of teams, split into buckets by the hash of the name.
+
+37,000 teams as single objects take more memory than the whole control plane may
+use. A bucket keeps their fields in arrays; a change copies one bucket only.
+"""
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import cached_property
+
+from shallotspindle_bundles.records import Team
+from shallotspindle_core import hashing
+from shallotspindle_core.identifiers import TeamName
+
+# At 37,000 teams with two keys each, a bucket encodes to about 120 KB, well below
+# the 1 MB limit of the store, and a new instance reads 64 chunks of teams.
+BUCKET_COUNT = 64
+DIGEST_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Bucket:
+    """Teams ordered by name, with one array for each field.
+
+    :param ends: number of digests up to and including each team.
+    :param digests: all key digests, 32 bytes each.
+    """
+
+    names: tuple[TeamName, ...]
+    rates: array
+    bursts: array
+    ends: array
+    digests: bytes
+
+
+def build_bucket(teams: Iterable[Team]) -> Bucket:
+    """Pack teams; of several with one name the last one counts."""
+    ordered = sorted({team.name: team for team in teams}.values(), key=_get_name)
+    ends, total = array("L"), 0
+    for team in ordered:
+        total += len(team.key_digests)
+        ends.append(total)
+    return Bucket(
+        tuple(team.name for team in ordered),
+        array("d", [team.rate for team in ordered]),
+        array("d", [team.burst for team in ordered]),
+        ends,
+        b"".join(digest for team in ordered for digest in team.key_digests),
+    )
+
+
+def _get_name(team: Team) -> TeamName:
+    return team.name
+
+
+EMPTY_BUCKET = build_bucket(())
+
+
+def find_bucket(name: str, count: int = BUCKET_COUNT) -> int:
+    """Return the bucket of a name, the same on every instance."""
+    return hashing.hash_text("bucket", name) % count
+
+
+def unpack(bucket: Bucket, index: int) -> Team:
+    """Return one team of a bucket."""
+    start = bucket.ends[index - 1] if index else 0
+    digests = (
+        bucket.digests[n * DIGEST_BYTES : (n + 1) * DIGEST_BYTES]
+        for n in range(start, bucket.ends[index])
+    )
+    rate, burst = bucket.rates[index], bucket.bursts[index]
+    return Team(bucket.names[index], rate, burst, tuple(digests))
+
+
+def unpack_all(bucket: Bucket) -> Iterator[Team]:
+    """Return the teams of a bucket, ordered by name."""
+    return (unpack(bucket, index) for index in range(len(bucket.names)))
+
+
+class Teams(Mapping[TeamName, Team]):
+    """Immutable mapping of teams by name.
+
+    :param buckets: ``BUCKET_COUNT`` buckets.
+    """
+
+    def __init__(self, buckets: tuple[Bucket, ...]) -> None:
+        self.buckets = buckets
+
+    @cached_property
+    def _length(self) -> int:
+        return sum(len(bucket.names) for bucket in self.buckets)
+
+    def __getitem__(self, name: TeamName) -> Team:
+        bucket = self.buckets[find_bucket(name)]
+        index = bisect_left(bucket.names, name)
+        if index == len(bucket.names) or bucket.names[index] != name:
+            raise KeyError(name)
+        return unpack(bucket, index)
+
+    def __iter__(self) -> Iterator[TeamName]:
+        return (name for bucket in self.buckets for name in bucket.names)
+
+    def __len__(self) -> int:
+        return self._length
+
+
+EMPTY = Teams((EMPTY_BUCKET,) * BUCKET_COUNT)
+
+
+def build_teams(items: Iterable[Team]) -> Teams:
+    """Pack teams into buckets; of several with one name the last one counts."""
+    groups: list[list[Team]] = [[] for _ in range(BUCKET_COUNT)]
+    for team in items:
+        groups[find_bucket(team.name)].append(team)
+    return Teams(tuple(map(build_bucket, groups)))
+
+
+def replace_teams(teams: Teams, changes: Mapping[TeamName, Team | None]) -> Teams:
+    """Return the mapping with changed teams; untouched buckets are shared.
+
+    :param changes: the new team by name, None for one that is removed.
+    """
+    groups: dict[int, dict[TeamName, Team | None]] = {}
+    for name, team in changes.items():
+        groups.setdefault(find_bucket(name), {})[name] = team
+    buckets = list(teams.buckets)
+    for number, group in groups.items():
+        kept = {team.name: team for team in unpack_all(buckets[number])} | group
+        buckets[number] = build_bucket(team for team in kept.values() if team)
+    return Teams(tuple(buckets))
--- a/libraries/keys/shallotspindle_keys/directory.py
+++ b/libraries/keys/shallotspindle_keys/directory.py
@@ -1,51 +1,142 @@
 """Finds the team of a key.
 
 A request runs only for the team whose key came with it; a withdrawn key finds none.
+A team may have several keys, so that a new key works before the old one is
+withdrawn.
 """
 
 import hmac
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import islice
 
 from shallotspindle_core.failures import Failure
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_keys import digests
 
+DIGEST_BYTES = 32
+BUCKET_COUNT = 256
+# Keys that are indexed at a time; it bounds the memory of the loose digests.
+BATCH_KEYS = 8_192
+
 
 @dataclass(frozen=True, slots=True)
 class UnknownKey(Failure):
     """No team has the key, or it was withdrawn."""
 
 
+@dataclass(frozen=True, slots=True)
+class KeyConflict(Failure):
+    """Two teams have the same key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bucket:
+    """Digests with the same first byte, in order, each 32 bytes; their teams."""
+
+    digests: bytes = b""
+    teams: tuple[TeamName, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Directory:
     """Teams by the digests of their keys.
 
+    Digests lie side by side in one value for each bucket: 74,000 keys as entries of
+    a dict take more memory than all other parts of a bundle together.
+
     :param salt: salt of the digests.
-    :param teams: the team and the full digest, by the digest's first 8 bytes.
+    :param buckets: ``BUCKET_COUNT`` buckets by the digest's first byte.
     :param withdrawn: digests that are refused.
     """
 
     salt: bytes
-    teams: Mapping[bytes, tuple[TeamName, bytes]]
+    buckets: tuple[Bucket, ...] = (Bucket(),) * BUCKET_COUNT
     withdrawn: frozenset[bytes] = frozenset()
 
 
-PREFIX_BYTES = 8
+def get_digest(bucket: Bucket, index: int) -> bytes:
+    return bucket.digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES]
+
+
+def find_index(bucket: Bucket, digest: bytes) -> int:
+    """Return the place of the first digest that is not below the given one."""
+    low, high = 0, len(bucket.teams)
+    while low < high:
+        middle = (low + high) // 2
+        if get_digest(bucket, middle) < digest:
+            low = middle + 1
+        else:
+            high = middle
+    return low
+
+
+def build_bucket(entries: Mapping[bytes, TeamName]) -> Bucket:
+    ordered = sorted(entries.items())
+    return Bucket(
+        b"".join(digest for digest, _ in ordered), tuple(team for _, team in ordered)
+    )
+
+
+def list_entries(bucket: Bucket) -> dict[bytes, TeamName]:
+    return {get_digest(bucket, n): team for n, team in enumerate(bucket.teams)}
 
 
 def build_directory(
     salt: bytes,
     digests_by_team: Iterable[tuple[TeamName, Iterable[bytes]]],
     withdrawn: frozenset[bytes] = frozenset(),
-) -> Directory:
-    """Index the digests of all teams."""
-    teams = {
-        digest[:PREFIX_BYTES]: (team, digest)
-        for team, team_digests in digests_by_team
-        for digest in team_digests
-    }
-    return Directory(salt, teams, withdrawn)
+) -> Directory | KeyConflict:
+    """Index the digests of all teams.
+
+    :returns: the directory, or a failure when two teams have the same key.
+    """
+    pairs = ((team, digest) for team, items in digests_by_team for digest in items)
+    directory = Directory(salt, withdrawn=withdrawn)
+    while batch := tuple(islice(pairs, BATCH_KEYS)):
+        updated = update_directory(directory, (), batch)
+        if isinstance(updated, KeyConflict):
+            return updated
+        directory = updated
+    return directory
+
+
+def update_directory(
+    directory: Directory,
+    removed: Iterable[tuple[TeamName, bytes]],
+    added: Iterable[tuple[TeamName, bytes]],
+) -> Directory | KeyConflict:
+    """Return the directory after some teams' keys changed.
+
+    Only the buckets of these keys are copied.
+
+    :returns: the directory, or a failure when an added key has another team.
+    """
+    groups: dict[int, dict[bytes, TeamName]] = {}
+
+    def find_group(digest: bytes) -> dict[bytes, TeamName]:
+        number = digest[0]
+        if number not in groups:
+            groups[number] = list_entries(directory.buckets[number])
+        return groups[number]
+
+    for _, digest in removed:
+        find_group(digest).pop(digest, None)
+    for team, digest in added:
+        owner = find_group(digest).setdefault(digest, team)
+        if owner != team:
+            return KeyConflict(
+                "keys", "two teams have the same key", f"{owner}, {team}"
+            )
+    buckets = list(directory.buckets)
+    for number, group in groups.items():
+        buckets[number] = build_bucket(group)
+    return replace(directory, buckets=tuple(buckets))
+
+
+def withdraw(directory: Directory, withdrawn: frozenset[bytes]) -> Directory:
+    """Return the directory with another set of refused digests."""
+    return replace(directory, withdrawn=withdrawn)
 
 
 def find_team(directory: Directory, key: str) -> TeamName | UnknownKey:
@@ -54,10 +145,11 @@
     The comparison of the full digest takes the same time for every wrong key.
     """
     digest = digests.digest_key(directory.salt, key)
-    entry = directory.teams.get(digest[:PREFIX_BYTES])
-    if entry is None or digest in directory.withdrawn:
-        return UnknownKey("key", "the key is not known or was withdrawn")
-    team, expected = entry
-    if not hmac.compare_digest(expected, digest):
-        return UnknownKey("key", "the key is not known or was withdrawn")
-    return team
+    bucket = directory.buckets[digest[0]]
+    index = find_index(bucket, digest)
+    unknown = UnknownKey("key", "the key is not known or was withdrawn")
+    if index == len(bucket.teams) or digest in directory.withdrawn:
+        return unknown
+    if not hmac.compare_digest(get_digest(bucket, index), digest):
+        return unknown
+    return bucket.teams[index]
--- a/libraries/keys/shallotspindle_keys/directory_test.py
+++ b/libraries/keys/shallotspindle_keys/directory_test.py
@@ -27,3 +27,21 @@
         withdrawn = frozenset({digests.digest_key(SALT, "key-one")})
         found = directory.find_team(build(withdrawn), "key-one")
         assert isinstance(found, directory.UnknownKey)
+
+    def test_both_keys_work_during_a_rotation(self):
+        # Guards against a rotation that refuses callers with the old key.
+        new = digests.digest_key(SALT, "key-one-new")
+        old = digests.digest_key(SALT, "key-one")
+        both = directory.update_directory(build(), (), [("museum", new)])
+        assert directory.find_team(both, "key-one-new") == "museum"
+        assert directory.find_team(both, "key-one") == "museum"
+        after = directory.update_directory(both, [("museum", old)], ())
+        found = directory.find_team(after, "key-one")
+        assert isinstance(found, directory.UnknownKey)
+        assert directory.find_team(after, "key-two") == "dealer"
+
+    def test_one_key_of_two_teams_is_a_conflict(self):
+        # Guards against a key that runs requests for either of two teams.
+        key = digests.digest_key(SALT, "key-one")
+        found = directory.update_directory(build(), (), [("dealer", key)])
+        assert isinstance(found, directory.KeyConflict)
--- a/libraries/settings/shallotspindle_settings/bundle.py
+++ b/libraries/settings/shallotspindle_settings/bundle.py
@@ -1,24 +1,37 @@
 """Bundle files: their models and the conversion to records."""
 
 import json
+import sys
 from pathlib import Path
+from typing import Annotated, Any
 
 from expression import Error, Ok, Result
 from pydantic import Field, ValidationError
 
-from shallotspindle_bundles import records
+from shallotspindle_bundles import checks, records, teams
 from shallotspindle_settings import failures
 from shallotspindle_settings.daemon import Model
 
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
 
 class TeamModel(Model):
+    """A customer of the organisation.
+
+    :param rate: admitted requests a second over the whole fleet.
+    :param burst: admitted requests at once over the whole fleet.
+    :param key_digests: HMAC-SHA256 digests of the team's keys in hex.
+    """
+
     name: str
     rate: float = Field(gt=0)
     burst: float = Field(ge=1)
-    key_digests: tuple[str, ...] = ()
+    key_digests: tuple[Digest, ...] = ()
 
 
 class UpstreamModel(Model):
+    """One back end of a service; ``address`` is ``ip:port``."""
+
     name: str
     address: str
     failure_domain: str
@@ -28,12 +41,16 @@
 
 
 class ServiceModel(Model):
+    """Interchangeable upstreams; ``floor`` of them stay in use."""
+
     name: str
     upstreams: tuple[UpstreamModel, ...]
     floor: int = Field(default=1, ge=0)
 
 
 class RouteModel(Model):
+    """Maps requests to a service; ``timeout`` is in seconds."""
+
     name: str
     prefix: str = Field(pattern="^/")
     service: str
@@ -42,15 +59,23 @@
     open: bool = False
     idempotent_methods: tuple[str, ...] | None = None
     timeout: float = Field(default=30.0, gt=0)
+    idempotency_key: records.KeyRule = records.KeyRule.OPTIONAL
+    team: str | None = None
 
 
 class BundleModel(Model):
+    """Everything that operators sign off in one step.
+
+    :param salt: key of the key digests in hex, 16 bytes or more.
+    :param withdrawn: digests of keys that must not be accepted, in hex.
+    """
+
     version: int = Field(ge=1)
     salt: str = Field(pattern=r"^([0-9a-f]{2}){16,}$")
     teams: tuple[TeamModel, ...] = ()
     services: tuple[ServiceModel, ...] = ()
     routes: tuple[RouteModel, ...] = ()
-    withdrawn: tuple[str, ...] = ()
+    withdrawn: tuple[Digest, ...] = ()
 
 
 def build_service(model: ServiceModel) -> records.Service:
@@ -58,7 +83,7 @@
         records.Upstream(
             name=item.name,
             address=item.address,
-            domain=item.failure_domain,
+            domain=sys.intern(item.failure_domain),
             slots=item.slots,
             connections=item.connections,
             draining=item.draining,
@@ -68,60 +93,159 @@
     return records.Service(model.name, upstreams, model.floor)
 
 
+DEFAULT_IDEMPOTENT_METHODS = records.Route("", "/", "").idempotent_methods
+SETS: dict[frozenset[str], frozenset[str]] = {}
+
+
+def share_set(values: tuple[str, ...]) -> frozenset[str]:
+    """Return one object for equal sets; thousands of routes have the same methods."""
+    found = frozenset(values)
+    return SETS.setdefault(found, found)
+
+
 def build_route(model: RouteModel) -> records.Route:
-    fields = model.model_dump(exclude_none=True)
-    for name in ("methods", "idempotent_methods"):
-        if name in fields:
-            fields[name] = frozenset(fields[name])
+    fields = {name: getattr(model, name) for name in RouteModel.model_fields}
+    fields["service"] = sys.intern(model.service)
+    fields["methods"] = share_set(model.methods)
+    if model.idempotent_methods is None:
+        del fields["idempotent_methods"]
+    else:
+        fields["idempotent_methods"] = share_set(model.idempotent_methods)
     return records.Route(**fields)
 
 
-def build_bundle(model: BundleModel) -> records.Bundle:
-    """Convert a validated model to the records that decisions use."""
-    teams = (
-        records.Team(
-            item.name,
-            item.rate,
-            item.burst,
-            tuple(map(bytes.fromhex, item.key_digests)),
-        )
-        for item in model.teams
-    )
-    return records.Bundle(
+def build_team(model: TeamModel) -> records.Team:
+    digests = tuple(map(bytes.fromhex, model.key_digests))
+    return records.Team(model.name, model.rate, model.burst, digests)
+
+
+def build_draft(model: BundleModel) -> records.Draft:
+    """Convert a validated model to records, in the order of the file."""
+    return records.Draft(
         version=model.version,
         salt=bytes.fromhex(model.salt),
-        teams={team.name: team for team in teams},
-        services={item.name: build_service(item) for item in model.services},
+        teams=tuple(map(build_team, model.teams)),
+        services=tuple(map(build_service, model.services)),
         routes=tuple(map(build_route, model.routes)),
-        withdrawn=frozenset(map(bytes.fromhex, model.withdrawn)),
+        withdrawn=tuple(map(bytes.fromhex, model.withdrawn)),
     )
 
 
-def parse_bundle(
+def build_bundle(model: BundleModel) -> records.Bundle:
+    """Convert a validated model to the records that decisions use."""
+    draft = build_draft(model)
+    return records.Bundle(
+        version=draft.version,
+        salt=draft.salt,
+        teams=teams.build_teams(draft.teams),
+        services={service.name: service for service in draft.services},
+        routes=records.order_routes(draft.routes),
+        withdrawn=frozenset(draft.withdrawn),
+    )
+
+
+def parse_model(
     source: str, text: str
-) -> Result[records.Bundle, tuple[failures.SettingsFailure, ...]]:
-    """Parse and validate the JSON text of a bundle.
+) -> Result[BundleModel, tuple[failures.SettingsFailure, ...]]:
+    """Parse the JSON text of a bundle and check its form and its content.
 
     :param source: name of the text in failures.
-    :returns: the bundle, or all failures of the text.
+    :returns: the model, or all failures of the text.
     """
     try:
-        return Ok(build_bundle(BundleModel.model_validate_json(text)))
+        model = BundleModel.model_validate_json(text)
     except ValidationError as error:
         return Error(failures.convert(source, text, error))
+    found = checks.check(build_draft(model))
+    if not found:
+        return Ok(model)
+    items = [
+        (item.path, f"{item.message} ({item.item})" if item.item else item.message)
+        for item in found
+    ]
+    return Error(failures.locate(source, text, items))
+
+
+def parse_bundle(
+    source: str, text: str
+) -> Result[records.Bundle, tuple[failures.SettingsFailure, ...]]:
+    """Parse, validate and check the JSON text of a bundle."""
+    return parse_model(source, text).map(build_bundle)
+
+
+def load_model(
+    path: Path,
+) -> Result[BundleModel, tuple[failures.SettingsFailure, ...]]:
+    """Read a bundle file as a model."""
+    try:
+        return parse_model(str(path), path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        return Error((failures.SettingsFailure(str(path), str(error)),))
 
 
 def load_bundle(
     path: Path,
 ) -> Result[records.Bundle, tuple[failures.SettingsFailure, ...]]:
     """Read a bundle file."""
-    try:
-        return parse_bundle(str(path), path.read_text())
-    except OSError as error:
-        return Error((failures.SettingsFailure(str(path), str(error)),))
+    return load_model(path).map(build_bundle)
+
+
+def describe_service(service: records.Service) -> dict[str, Any]:
+    """Return the fields of a service as its model has them."""
+    return {
+        "name": service.name,
+        "floor": service.floor,
+        "upstreams": [
+            {
+                "name": item.name,
+                "address": item.address,
+                "failure_domain": item.domain,
+                "slots": item.slots,
+                "connections": item.connections,
+                "draining": item.draining,
+            }
+            for item in service.upstreams
+        ],
+    }
+
+
+def describe_route(route: records.Route) -> dict[str, Any]:
+    """Return the fields of a route as its model has them."""
+    fields = {name: getattr(route, name) for name in RouteModel.model_fields}
+    fields["methods"] = sorted(route.methods)
+    if route.idempotent_methods == DEFAULT_IDEMPOTENT_METHODS:
+        del fields["idempotent_methods"]
+    else:
+        fields["idempotent_methods"] = sorted(route.idempotent_methods)
+    return fields
+
+
+def describe_team(team: records.Team) -> dict[str, Any]:
+    """Return the fields of a team as its model has them."""
+    return {
+        "name": team.name,
+        "rate": team.rate,
+        "burst": team.burst,
+        "key_digests": [digest.hex() for digest in team.key_digests],
+    }
+
+
+def describe_bundle(bundle: records.Bundle) -> BundleModel:
+    """Convert records to the model of a file, ordered by name."""
+    services = sorted(bundle.services.values(), key=lambda item: item.name)
+    routes = sorted(bundle.routes, key=lambda item: item.name)
+    fields = {
+        "version": bundle.version,
+        "salt": bundle.salt.hex(),
+        "teams": [describe_team(bundle.teams[name]) for name in sorted(bundle.teams)],
+        "services": list(map(describe_service, services)),
+        "routes": list(map(describe_route, routes)),
+        "withdrawn": sorted(digest.hex() for digest in bundle.withdrawn),
+    }
+    return BundleModel.model_validate(fields)
 
 
 def format_bundle(model: BundleModel) -> str:
-    """Return the canonical text of a bundle, the same for equal bundles."""
+    """Return the text of a bundle file, the same for equal bundles."""
     data = model.model_dump(mode="json", exclude_defaults=True)
-    return json.dumps(data, sort_keys=True, separators=(",", ":"))
+    return json.dumps(data, indent=2, sort_keys=True, ensure_ascii=False) + "\n"
