Follow the accepted bundle in the store and at peers

Cause: the configuration task read the whole bundle from the store every second inside its inbox, knew no peers and no withdrawals, and a slow store stopped it.

Withdrawals spread at once and are saved in the store when it returns.

--- a/libraries/platform/shallotspindle_platform/interface.py
+++ b/libraries/platform/shallotspindle_platform/interface.py
@@ -60,6 +60,9 @@
         :returns: the new revision.
         """
 
+    async def remove(self, key: str, revision: int) -> Result[None, StoreFailure]:
+        """Remove a value if its revision is still the given one."""
+
     async def grant_lease(self, seconds: int) -> Result[int, StoreFailure]:
         """Create a lease and return its number."""
 
--- a/libraries/settings/shallotspindle_settings/chunks.py
+++ b/libraries/settings/shallotspindle_settings/chunks.py
@@ -136,6 +136,20 @@
     return index, encoded
 
 
+def find_chunk(content: Bundle, index: Index, digest: str) -> bytes:
+    """Return the chunk of a bundle, or its index, by digest; empty if it has none.
+
+    Chunks are encoded anew when a peer asks, so that they take no memory.
+    """
+    if not digest:
+        return b""
+    for place, name in index.items():
+        if name == digest:
+            return encode_content(buckets.select(content, place))
+    data = encode_index(index)
+    return data if manifests.digest_chunk(data) == digest else b""
+
+
 class Assembly:
     """Collects the buckets of a bundle and packs each one when it arrives.
 
--- /dev/null
+++ b/libraries/settings/shallotspindle_settings/withdrawal.py
@@ -0,0 +1,57 @@
+"""The JSON form of a signed withdrawal, in the store and at instances."""
+
+from expression import Error, Ok, Result
+from pydantic import Field, ValidationError
+
+from shallotspindle_bundles.withdrawals import TEXT_LENGTH_MAX, Withdrawal
+from shallotspindle_settings import failures
+from shallotspindle_settings.bundle import Digest
+from shallotspindle_settings.daemon import Model
+
+WITHDRAWAL_PREFIX = "/shallotspindle/withdrawals/"
+
+
+class WithdrawalModel(Model):
+    """Statement that a key is no longer accepted.
+
+    :param digest: digest of the key in hex.
+    :param signature: Ed25519 signature in hex, 64 bytes.
+    """
+
+    digest: Digest
+    person: str = Field(min_length=1, max_length=TEXT_LENGTH_MAX)
+    reason: str = Field(max_length=TEXT_LENGTH_MAX)
+    time: str = Field(max_length=TEXT_LENGTH_MAX)
+    signature: str = Field(pattern=r"^[0-9a-f]{128}$")
+
+
+def parse_withdrawal(
+    source: str, data: bytes
+) -> Result[Withdrawal, tuple[failures.SettingsFailure, ...]]:
+    """Validate the JSON form of a withdrawal; its signature is not checked."""
+    try:
+        model = WithdrawalModel.model_validate_json(data)
+    except ValidationError as error:
+        text = data.decode(errors="replace")
+        return Error(failures.convert(source, text, error))
+    return Ok(
+        Withdrawal(
+            bytes.fromhex(model.digest),
+            model.person,
+            model.reason,
+            model.time,
+            bytes.fromhex(model.signature),
+        )
+    )
+
+
+def format_withdrawal(withdrawal: Withdrawal) -> bytes:
+    """Return the JSON form of a withdrawal."""
+    model = WithdrawalModel(
+        digest=withdrawal.digest.hex(),
+        person=withdrawal.person,
+        reason=withdrawal.reason,
+        time=withdrawal.time,
+        signature=withdrawal.signature.hex(),
+    )
+    return model.model_dump_json().encode()
