--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -8,9 +8,16 @@
 
 import pytest
 
-from shallotspindle_bundles.records import Bundle, Route, Service, Team, Upstream
-from shallotspindle_entry import configuration, standalone
-from shallotspindle_entry.configuration import Configuration
+from shallotspindle_bundles.records import (
+    Bundle,
+    KeyRule,
+    Route,
+    Service,
+    Team,
+    Upstream,
+)
+from shallotspindle_entry import bundle_loading, standalone
+from shallotspindle_entry.bundle_loading import Configuration
 from shallotspindle_entry.execution import Executor
 from shallotspindle_entry.forwarding import Forwarder
 from shallotspindle_entry.frontend import Frontend
@@ -112,7 +119,7 @@
     upstreams = tuple(Upstream(f"catalogue-{n}", address, "a") for n in range(3))
     routes = (
         Route("records", "/records", "catalogue", timeout=600.0),
-        Route("deposits", "/deposits", "catalogue", idempotency_key="required"),
+        Route("deposits", "/deposits", "catalogue", idempotency_key=KeyRule.REQUIRED),
         Route("open", "/open", "catalogue", open=True),
     )
     service = Service("catalogue", upstreams)
@@ -124,7 +131,7 @@
     upstream = ScriptedUpstream()
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    current = configuration.build_configuration(build_bundle(f"127.0.0.1:{port}"))
+    current = bundle_loading.build_configuration(build_bundle(f"127.0.0.1:{port}"))
     tasks = FixedConfiguration(current)
     clock = SystemClock()
     lifecycle = Lifecycle()
--- a/libraries/entry/shallotspindle_entry/gate.py
+++ b/libraries/entry/shallotspindle_entry/gate.py
@@ -5,13 +5,13 @@
 
 from aiohttp import web
 
-from shallotspindle_bundles.records import Route
+from shallotspindle_bundles.records import KeyRule, Route
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_entry import checks, deadlines, headers, problems
 from shallotspindle_entry.bodies import Body
+from shallotspindle_entry.bundle_loading import Configuration
 from shallotspindle_entry.calls import Call
-from shallotspindle_entry.configuration import Configuration
 from shallotspindle_entry.interfaces import Freshness
 from shallotspindle_entry.problems import Problem
 from shallotspindle_keys import directory
@@ -70,7 +70,7 @@
         self, request: web.Request, current: Configuration, route: Route
     ) -> TeamName | Problem:
         if route.open:
-            return TeamName(route.team)
+            return route.team or NO_TEAM
         if not self._freshness.is_fresh(self._clock.boottime()):
             return problems.STALE
         key = headers.read_key(request.headers)
@@ -84,7 +84,7 @@
         keys = request.headers.getall(headers.IDEMPOTENCY_KEY, ())
         if len(keys) > 1 or any(not 0 < len(key) <= KEY_LENGTH for key in keys):
             return problems.BAD_IDEMPOTENCY_KEY
-        if not keys and not idempotent and route.idempotency_key == "required":
+        if not keys and not idempotent and route.idempotency_key is KeyRule.REQUIRED:
             return problems.KEY_REQUIRED
         header = request.headers.get(deadlines.TIMEOUT_HEADER)
         seconds = deadlines.read_timeout(header, route.timeout)
