--- /dev/null
+++ b/libraries/health/shallotspindle_health/samples.py
@@ -0,0 +1,166 @@
+"""Scores upstreams of one service from live traffic.
+
+Two cumulative sums (CUSUM) are kept for each upstream: of failures above the failure
+rate of the other upstreams, and of ranks of its latencies among theirs. Ranks need no
+model of the latencies, so that mixed kinds of request and a few samples suffice.
+"""
+
+from bisect import bisect_left
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """How an exchange with an upstream ended."""
+
+    WHOLE = "whole"
+    ERROR = "error"
+    SHED = "shed"
+    TRUNCATED = "truncated"
+    TIMED_OUT = "timed-out"
+    RESET = "reset"
+    NOT_CONNECTED = "not-connected"
+    CANCELLED = "cancelled"
+
+
+# A shed answer is load; a cancelled request says nothing about the upstream.
+NEUTRAL = frozenset({Outcome.SHED, Outcome.CANCELLED})
+LATENCIES_KEPT = 16
+REFRESH_SAMPLES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Thresholds:
+    """When evidence counts.
+
+    :param slowness: a latency counts as bad as far as it exceeds this multiple of
+        the other upstreams' latencies.
+    :param rank_drift: mean rank that is tolerated; 0.5 is the most that an upstream
+        like the others can have.
+    :param failure_drift: failure rate that is tolerated beyond that of the others.
+    :param rank_limit: sum of ranks at which an instance ejects on its own.
+    :param failure_limit: sum of failures at which an instance ejects on its own.
+    :param suspect: part of a limit at which an upstream is suspected.
+    :param pool: samples of other upstreams that a rank needs.
+    """
+
+    slowness: float = 2.0
+    rank_drift: float = 0.55
+    failure_drift: float = 0.15
+    rank_limit: float = 2.0
+    failure_limit: float = 3.0
+    suspect: float = 0.5
+    pool: int = 12
+
+
+@dataclass(slots=True)
+class Counters:
+    """Evidence about one upstream."""
+
+    failures: float = 0.0
+    ranks: float = 0.0
+    failure_rate: float = 0.0
+    shed: int = 0
+    last_failure: str = ""
+    latencies: deque[float] = field(
+        default_factory=lambda: deque(maxlen=LATENCIES_KEPT)
+    )
+
+
+class Statistics:
+    """Evidence about the upstreams of one service."""
+
+    def __init__(self, thresholds: Thresholds) -> None:
+        self._thresholds = thresholds
+        self._counters: dict[str, Counters] = {}
+        self._pool: list[float] = []
+        self._until_refresh = 0
+
+    def keep(self, names: frozenset[str]) -> None:
+        """Forget upstreams that are not named and start to count the others."""
+        known = self._counters
+        self._counters = {name: known.get(name, Counters()) for name in sorted(names)}
+        self._until_refresh = 0
+
+    def add(self, name: str, outcome: Outcome, seconds: float) -> bool:
+        """Count an exchange; return whether it looked bad."""
+        counters = self._counters.get(name)
+        if counters is None or outcome is Outcome.CANCELLED:
+            return False
+        if outcome is Outcome.SHED:
+            counters.shed += 1
+            return False
+        failed = outcome is not Outcome.WHOLE
+        self._add_failure(name, counters, failed, outcome)
+        if failed and outcome is not Outcome.TIMED_OUT:
+            return True
+        rank = self._rank(counters, seconds)
+        drift = self._thresholds.rank_drift
+        counters.ranks = max(0.0, counters.ranks + rank - drift)
+        counters.latencies.append(seconds)
+        return failed or rank > drift
+
+    def _add_failure(
+        self, name: str, counters: Counters, failed: bool, outcome: Outcome
+    ) -> None:
+        others = [
+            item.failure_rate for key, item in self._counters.items() if key != name
+        ]
+        # Twice the others' rate: when all fail, the cause is not this upstream.
+        expected = 2 * sum(others) / len(others) if others else 0.0
+        drift = min(0.95, self._thresholds.failure_drift + expected)
+        counters.failures = max(0.0, counters.failures + failed - drift)
+        counters.failure_rate += 0.1 * (failed - counters.failure_rate)
+        if failed:
+            counters.last_failure = outcome.value
+
+    def _rank(self, counters: Counters, seconds: float) -> float:
+        self._refresh()
+        scaled = seconds / self._thresholds.slowness
+        own_below = sum(value < scaled for value in counters.latencies)
+        total = len(self._pool) - len(counters.latencies)
+        if total < self._thresholds.pool:
+            return 0.0
+        below = bisect_left(self._pool, scaled) - own_below
+        return min(1.0, max(0.0, below / total))
+
+    def _refresh(self) -> None:
+        self._until_refresh -= 1
+        if self._until_refresh > 0:
+            return
+        self._until_refresh = REFRESH_SAMPLES
+        pools = [item.latencies for item in self._counters.values()]
+        self._pool = sorted(value for pool in pools for value in pool)
+
+    def score(self, name: str) -> float:
+        """Return the evidence against an upstream; 1 suffices for an ejection."""
+        counters = self._counters[name]
+        return max(
+            counters.failures / self._thresholds.failure_limit,
+            counters.ranks / self._thresholds.rank_limit,
+        )
+
+    def explain(self, name: str) -> str:
+        """Return the stronger reason of a score in a word."""
+        counters = self._counters[name]
+        failures = counters.failures / self._thresholds.failure_limit
+        if failures >= counters.ranks / self._thresholds.rank_limit:
+            return counters.last_failure
+        return "slow"
+
+    def count_shed(self, name: str) -> int:
+        """Return how many requests an upstream has shed."""
+        return self._counters[name].shed
+
+    def acquit(self, name: str) -> None:
+        """Take back one failure that a request, not the upstream, caused."""
+        if name in self._counters:
+            counters = self._counters[name]
+            counters.failures = max(0.0, counters.failures - 1.0)
+
+    def reset(self, name: str) -> None:
+        """Forget the evidence against an upstream, which recovered."""
+        shed = self._counters[name].shed
+        self._counters[name] = Counters(shed=shed)
+        self._until_refresh = 0
--- a/libraries/routing/shallotspindle_routing/choice.py
+++ b/libraries/routing/shallotspindle_routing/choice.py
@@ -1,4 +1,7 @@
-"""Chooses the upstream of a request among those that may get work."""
+"""Chooses the upstream of a request among those that may get work.
+
+Used by the front end until it asks the balancing task.
+"""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -7,6 +10,7 @@
 from shallotspindle_core.failures import Failure
 from shallotspindle_core.identifiers import UpstreamName
 from shallotspindle_core.randomness import RandomSource
+from shallotspindle_routing.policies import Option, PowerOfTwo
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +30,9 @@
     """
     if not candidates:
         return NoUpstream("service", "no upstream is available")
-    first = candidates[random.randrange(len(candidates))]
-    second = candidates[random.randrange(len(candidates))]
-    if in_flight.get(second.name, 0) < in_flight.get(first.name, 0):
-        return second
-    return first
+    options = [
+        Option(item.name, in_flight.get(item.name, 0), 0.0, item.slots, 0.0, 1.0)
+        for item in candidates
+    ]
+    chosen = PowerOfTwo().pick(options, random)
+    return candidates[options.index(chosen)]
--- /dev/null
+++ b/libraries/routing/shallotspindle_routing/fairqueue.py
@@ -0,0 +1,112 @@
+"""Bounded queue with deadlines and deficit round robin between teams.
+
+A team that sends too much waits behind its own requests only: when the queue is
+full, the newest request of the team with the longest queue is refused.
+"""
+
+import heapq
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+QUANTUM = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits for an upstream.
+
+    :param number: identifies the request.
+    :param deadline: time in seconds after which it has no use.
+    :param cost: expected work relative to the mean request of the service.
+    :param tried: upstreams that it was sent to before.
+    """
+
+    number: int
+    team: str
+    fingerprint: int
+    tried: frozenset[str]
+    deadline: float
+    cost: float = 1.0
+
+
+class FairQueue:
+    """Requests of one service, by team.
+
+    :param capacity: requests that wait at most.
+    """
+
+    def __init__(self, capacity: int = 512) -> None:
+        self._capacity = capacity
+        self._teams: OrderedDict[str, deque[Waiting]] = OrderedDict()
+        self._deficits: dict[str, float] = {}
+        self._members: dict[int, Waiting] = {}
+        self._deadlines: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def push(self, item: Waiting) -> Waiting | None:
+        """Add a request; return the one that is refused for lack of room."""
+        self._insert(item).append(item)
+        if len(self._members) <= self._capacity:
+            return None
+        longest = max(self._teams.values(), key=len)
+        refused = longest.pop()
+        self._settle(refused)
+        return refused
+
+    def push_front(self, item: Waiting) -> None:
+        """Put back a request that could not be sent, ahead of its team's others."""
+        self._insert(item).appendleft(item)
+        self._deficits[item.team] += item.cost
+
+    def pop(self) -> Waiting | None:
+        """Take the next request, the teams getting equal work."""
+        while self._teams:
+            team, waiting = next(iter(self._teams.items()))
+            if self._deficits[team] >= waiting[0].cost:
+                item = waiting.popleft()
+                self._deficits[team] -= item.cost
+                self._settle(item)
+                return item
+            self._deficits[team] += QUANTUM
+            self._teams.move_to_end(team)
+        return None
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Remove and return the requests whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, number = heapq.heappop(self._deadlines)
+            item = self.remove(number)
+            if item is not None:
+                expired.append(item)
+        return expired
+
+    def find_deadline(self) -> float | None:
+        """Return the earliest deadline of a waiting request."""
+        while self._deadlines and self._deadlines[0][1] not in self._members:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def remove(self, number: int) -> Waiting | None:
+        """Remove a request, for example because its caller is gone."""
+        item = self._members.get(number)
+        if item is None:
+            return None
+        self._teams[item.team].remove(item)
+        self._settle(item)
+        return item
+
+    def _insert(self, item: Waiting) -> deque[Waiting]:
+        self._members[item.number] = item
+        heapq.heappush(self._deadlines, (item.deadline, item.number))
+        self._deficits.setdefault(item.team, 0.0)
+        return self._teams.setdefault(item.team, deque())
+
+    def _settle(self, item: Waiting) -> None:
+        del self._members[item.number]
+        if not self._teams[item.team]:
+            # A team without requests saves up no deficit.
+            del self._teams[item.team]
+            del self._deficits[item.team]
