Decide who acts for a partition

Cause: limits and at-most-once execution need one holder per partition, also when the store is away or a holder is paused.

An instance that handed over without the store never renews again.

--- /dev/null
+++ b/libraries/ownership/shallotspindle_ownership/sessions.py
@@ -0,0 +1,73 @@
+"""Session of an instance: how long its rights last.
+
+An instance acts only before the horizon, which starts when the last acknowledged
+renewal was sent, so that it ends before any observer of the store can say so.
+"""
+
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+RENEWAL_SECONDS = 30.0
+QUIET_SECONDS = 300.0
+HORIZON_SECONDS = 8 * 3600.0
+# The record outlives the horizon, so that both proofs can read the counter.
+RECORD_LEASE_SECONDS = 9 * 3600
+
+
+class Phase(IntEnum):
+    """What the holder of a session may do."""
+
+    QUIET = 1
+    ALONE = 2
+    LAPSED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Renewals of one instance.
+
+    :param counter: the last acknowledged renewal counter; 0 before the first.
+    :param sent: when the last acknowledged renewal was sent, in boot-time seconds.
+    :param acked: when its answer arrived.
+    :param ended: whether a hand-over without the store was made. The instance then
+        never renews again; a fresh counter would let a successor take over by the
+        proof of termination while the unrecorded successor acts.
+    """
+
+    counter: int = 0
+    sent: float = 0.0
+    acked: float = 0.0
+    ended: bool = False
+
+
+def find_phase(session: Session, now: float) -> Phase:
+    """Return the phase at a moment."""
+    if session.counter == 0 or now >= session.sent + HORIZON_SECONDS:
+        return Phase.LAPSED
+    if now < session.acked + QUIET_SECONDS:
+        return Phase.QUIET
+    return Phase.ALONE
+
+
+def may_renew(session: Session) -> bool:
+    return not session.ended
+
+
+def acknowledge(session: Session, counter: int, sent: float, now: float) -> Session:
+    """Count a renewal that is known to have taken effect.
+
+    :param sent: when the first attempt to write this counter was sent.
+    """
+    if session.ended or counter <= session.counter:
+        return session
+    return Session(counter, sent, now)
+
+
+def end(session: Session) -> Session:
+    """Stop renewing for good."""
+    return replace(session, ended=True)
+
+
+def measure_remaining(session: Session, now: float) -> float:
+    """Return the seconds until the horizon."""
+    return max(0.0, session.sent + HORIZON_SECONDS - now)
