Run ownership and claims as tasks of the daemon

Cause: the decisions on partitions and idempotency keys need the store, the instance list and the peers.

Change: OwnershipTask owns the rights and implements Rights; review.py, transfers.py and sessions.py do its I/O and send results to its inbox.

Conclusion: tests with several instances in one process cover lost answers, lost hand-overs, killed and paused holders, and the store away.

--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/transfers.py
@@ -0,0 +1,135 @@
+"""Hand-over of partitions by consent, through the store or without it."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from shallotspindle_core.identifiers import Incarnation, Instance
+from shallotspindle_entry.interfaces import PeerUnreachable
+from shallotspindle_ownership import placement
+from shallotspindle_ownership import table as tables
+from shallotspindle_ownership.messages import HandOver, Offer, Ready
+from shallotspindle_ownership.sessions import Phase
+from shallotspindle_ownership.table import Entry, Write
+
+if TYPE_CHECKING:
+    from shallotspindle_entry.ownership import OwnershipTask, Released
+
+REPLY_SECONDS = 1.0
+MESSAGE_TRIES = 3
+WRITE_TRIES = 10
+PAUSE_SECONDS = 0.5
+
+
+def group(
+    placed: Mapping[int, Incarnation],
+) -> dict[Incarnation, tuple[int, ...]]:
+    """Return the partitions of each successor."""
+    groups: dict[Incarnation, list[int]] = defaultdict(list)
+    for partition, successor in placed.items():
+        groups[successor].append(partition)
+    return {name: tuple(found) for name, found in groups.items()}
+
+
+async def hand_over_all(task: "OwnershipTask", deadline: float) -> int:
+    """Hand over all partitions until a deadline; see ``OwnershipTask``."""
+    refused: set[Incarnation] = set()
+    given_up = 0
+    while task.rights.held and task.clock.boottime() < deadline:
+        if task.find_phase() is Phase.LAPSED:
+            break
+        peers = {peer.incarnation for peer in task.link.list_peers()} - refused
+        loads = tables.count_holdings(task.table)
+        placed = placement.place(sorted(task.rights.held), sorted(peers), loads)
+        for successor, partitions in group(placed).items():
+            lost = await hand_over(task, successor, partitions)
+            if lost is None:
+                refused.add(successor)
+            given_up += lost or 0
+        if task.rights.held:
+            await task.sleep(PAUSE_SECONDS)
+        if not peers:
+            refused.clear()
+    return given_up + len(task.rights.held)
+
+
+async def hand_over(
+    task: "OwnershipTask", successor: Incarnation, partitions: tuple[int, ...]
+) -> int | None:
+    """Hand partitions over to one successor.
+
+    :returns: how many were given up without a successor; None if the successor did
+        not agree, in which case this instance still acts for all.
+    """
+    peer = task.find_instance(successor)
+    held = task.rights.held
+    epochs = tuple((n, held[n].epoch + 1) for n in partitions if n in held)
+    if peer is None or not epochs:
+        return None
+    alone = task.find_phase() is Phase.ALONE
+    if not alone and await task.read_table() is None:
+        # The store is away in the quiet period; the caller tries again later.
+        return 0
+    reply = await task.link.request(peer, Offer(epochs), REPLY_SECONDS)
+    if not isinstance(reply, Ready):
+        return None
+    numbers = tuple(n for n, _ in epochs)
+    released = await task.release(numbers, alone)
+    if released is None or not released.parts:
+        return 0
+    if not alone:
+        released = await _record(task, successor, released)
+    await _send(task, peer, reply.at, released, not alone)
+    return len(numbers) - len(released.parts)
+
+
+async def _record(
+    task: "OwnershipTask", successor: Incarnation, released: "Released"
+) -> "Released":
+    """Name the successor in the table; returns what the table names it for.
+
+    Only entries that still name this instance change, each to the offered epoch. An
+    undecided write is left to the table: the successor acts if it took effect.
+    """
+    for _ in range(WRITE_TRIES):
+        base = await task.read_table()
+        if base is not None:
+            kept = [
+                part
+                for part in released.parts
+                if tables.find_epoch(base, part.partition) < part.epoch
+            ]
+            changes = {p.partition: Entry(successor, p.epoch) for p in kept}
+            released = replace(released, parts=tuple(kept))
+            verdict = await task.write_table(base, changes)
+            if verdict is Write.APPLIED:
+                return released
+            if verdict is Write.UNDECIDED:
+                break
+        await task.sleep(PAUSE_SECONDS * task.source.random())
+    logging.warning("%d partitions were not recorded", len(released.parts))
+    return replace(released, parts=())
+
+
+async def _send(
+    task: "OwnershipTask",
+    peer: Instance,
+    at: float,
+    released: "Released",
+    recorded: bool,
+) -> None:
+    """Send one message a partition, as the states may be large.
+
+    Sending again is harmless, since a successor takes a partition once.
+    """
+    for part in released.parts:
+        message = HandOver(at, released.remaining, recorded, (part,))
+        for _ in range(MESSAGE_TRIES):
+            reply = await task.link.request(peer, message, REPLY_SECONDS)
+            if not isinstance(reply, PeerUnreachable):
+                break
+        else:
+            logging.warning("the state of partition %d was lost", part.partition)
--- a/libraries/ownership/shallotspindle_ownership/holdings.py
+++ b/libraries/ownership/shallotspindle_ownership/holdings.py
@@ -222,7 +222,8 @@
     return [
         n
         for n in tables.list_held(table, rights.me)
-        if n not in rights.held and n not in rights.expected
+        if n not in rights.held
+        and rights.expected.get(n, (0, None))[0] != table.entries[n].epoch
     ]
 
 
