--- /dev/null
+++ b/libraries/bench/shallotspindle_bench/faults.py
@@ -0,0 +1,62 @@
+"""Sets the faults of a scenario at their moments, and reads the runs afterwards."""
+
+import asyncio
+import os
+import signal
+from collections import Counter
+from collections.abc import Iterable
+
+import aiohttp
+
+from shallotspindle_bench.arrivals import Arrival
+from shallotspindle_bench.scenarios import Fault
+from shallotspindle_bench.targets import Target
+
+
+def find_address(fault: Fault, target: Target) -> str:
+    """Return the URL that a fault of a stand-in is posted to.
+
+    :raises KeyError: when the target has no such upstream.
+    """
+    if fault.target == "store":
+        return f"http://{target.store}/faults"
+    return f"http://{target.upstreams[fault.upstream]}/_behaviour"
+
+
+async def apply(fault: Fault, target: Target, session: aiohttp.ClientSession) -> None:
+    """Set one fault.
+
+    :raises aiohttp.ClientError: when the stand-in refuses the fields.
+    """
+    if fault.target == "signal":
+        os.kill(target.instances[fault.instance].pid, signal.SIGTERM)
+        return
+    async with session.post(find_address(fault, target), json=fault.fields) as response:
+        response.raise_for_status()
+
+
+async def apply_all(faults: Iterable[Fault], target: Target) -> None:
+    """Set each fault at its moment, counted from the call."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    async with aiohttp.ClientSession() as session:
+        for fault in sorted(faults, key=lambda item: item.at):
+            await asyncio.sleep(max(0.0, start + fault.at - loop.time()))
+            await apply(fault, target, session)
+
+
+async def read_runs(target: Target) -> Counter[str]:
+    """Return how often each marked request ran, over all upstreams."""
+    runs: Counter[str] = Counter()
+    async with aiohttp.ClientSession() as session:
+        for address in target.upstreams.values():
+            async with session.get(f"http://{address}/_runs") as response:
+                runs.update((await response.json())["runs"])
+    return runs
+
+
+def count_repeated(schedule: Iterable[Arrival], runs: Counter[str]) -> int:
+    """Return how many requests with an idempotency key ran more than once."""
+    return sum(
+        item.idempotency_key != "" and runs[item.marker] > 1 for item in schedule
+    )
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,204 @@
+"""Starts and stops the processes of a fleet on loopback."""
+
+import asyncio
+import json
+import re
+import secrets
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import sizes
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+LISTENING = re.compile(r"callers (\d+), administration (\d+)")
+READY_SECONDS = 60.0
+POLL_SECONDS = 0.05
+STOP_SECONDS = 20.0
+SIGNER = "astrid"
+
+
+@dataclass(slots=True)
+class Entry:
+    """One daemon and the ports that it keeps over a replacement."""
+
+    name: str
+    settings: Path
+    process: asyncio.subprocess.Process
+    callers: int = 0
+    administration: int = 0
+    log: list[str] = field(default_factory=list)
+    reader: asyncio.Task | None = None
+
+    def describe(self) -> dict:
+        return {
+            "name": self.name,
+            "callers": f"127.0.0.1:{self.callers}",
+            "administration": f"127.0.0.1:{self.administration}",
+            "pid": self.process.pid,
+        }
+
+
+async def start_module(
+    name: str, *arguments: str, **options: int
+) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        name,
+        *arguments,
+        stdin=asyncio.subprocess.DEVNULL,
+        **options,
+    )
+
+
+async def stop(process: asyncio.subprocess.Process) -> None:
+    """Ask a process to stop, and kill it when it does not."""
+    if process.returncode is not None:
+        return
+    process.terminate()
+    try:
+        await asyncio.wait_for(process.wait(), STOP_SECONDS)
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+
+
+class Fleet:
+    """Stand-ins, daemons and the operators' key, in one temporary folder.
+
+    :param folder: for settings, bundles and the key.
+    """
+
+    def __init__(self, folder: Path, size: sizes.Size) -> None:
+        self.folder = folder
+        self.size = size
+        self.entries: list[Entry] = []
+        self.version = 0
+        self.standins: asyncio.subprocess.Process | None = None
+        self.upstreams: dict[str, str] = {}
+        self.ports: dict[str, int] = {}
+        self._secret = secrets.token_hex(32)
+        self._key = Ed25519PrivateKey.generate()
+
+    async def start_standins(self, live: int, slots: int, service_time: float) -> None:
+        """Start the store, the instance list and some of the upstreams.
+
+        :param live: upstreams that run; the others of the bundle share their sockets.
+        """
+        self.standins = await start_module(
+            "shallotspindle_standins.main",
+            *sizes.list_upstreams(self.size)[:live],
+            f"--slots={slots}",
+            f"--service-time={service_time}",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.ports = json.loads(await self.standins.stdout.readline())
+        self.upstreams = {
+            name: f"127.0.0.1:{port}"
+            for name, port in self.ports.items()
+            if name not in ("store", "list")
+        }
+
+    async def publish(self) -> None:
+        """Sign off the next version of the bundle."""
+        self.version += 1
+        bundle = sizes.build_bundle(self.size, self.upstreams, self.version)
+        path = self.folder / "bundle.json"
+        path.write_text(json.dumps(bundle))
+        key = self.folder / "signing-key"
+        key.write_text(self._key.private_bytes_raw().hex())
+        process = await start_module(
+            "shallotspindle_operations.main",
+            *(
+                "publish",
+                str(path),
+                "--store",
+                f"http://127.0.0.1:{self.ports['store']}",
+            ),
+            *("--signer", SIGNER, "--key", str(key)),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        if await process.wait():
+            raise RuntimeError(f"version {self.version} was not accepted")
+
+    async def start_entry(self, number: int, stop_wait: float = 0.5) -> Entry:
+        """Start a daemon and wait until it is ready."""
+        settings = {
+            "name": f"entry-{number}",
+            "failure_domain": sizes.DOMAINS[number % 3],
+            "store_url": f"http://127.0.0.1:{self.ports['store']}",
+            "instance_list_url": f"http://127.0.0.1:{self.ports['list']}/instances",
+            "signers": {SIGNER: self._key.public_key().public_bytes_raw().hex()},
+            "fleet_secret": self._secret,
+            "stop_wait_seconds": stop_wait,
+        }
+        path = self.folder / f"entry-{number}.json"
+        path.write_text(json.dumps(settings))
+        entry = Entry(settings["name"], path, await self._spawn(path))
+        self.entries.append(entry)
+        await self._await_ready(entry)
+        return entry
+
+    async def replace_entry(self, entry: Entry) -> None:
+        """Start a daemon again on the ports that it had."""
+        settings = json.loads(entry.settings.read_text())
+        settings["callers"] = {"port": entry.callers}
+        settings["administration"] = {"port": entry.administration}
+        entry.settings.write_text(json.dumps(settings))
+        entry.process = await self._spawn(entry.settings)
+        await self._await_ready(entry)
+
+    async def _spawn(self, path: Path) -> asyncio.subprocess.Process:
+        return await start_module(
+            "shallotspindle_entry.main",
+            f"--settings={path}",
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def _await_ready(self, entry: Entry) -> None:
+        async for line in entry.process.stderr:
+            entry.log.append(line.decode())
+            found = LISTENING.search(entry.log[-1])
+            if found:
+                entry.callers, entry.administration = map(int, found.groups())
+                break
+        else:
+            raise RuntimeError(f"{entry.name} ended: {''.join(entry.log)}")
+        # An undrained pipe would block the daemon once it is full.
+        entry.reader = asyncio.create_task(self._drain(entry))
+        async with asyncio.timeout(READY_SECONDS):
+            while not await ask_ready(entry.administration):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _drain(self, entry: Entry) -> None:
+        async for line in entry.process.stderr:
+            entry.log.append(line.decode())
+            del entry.log[:-100]
+
+    def describe(self) -> dict:
+        """Return the addresses as shallotspindle-bench reads them."""
+        return {
+            "name": "fleet",
+            "instances": [entry.describe() for entry in self.entries],
+            "upstreams": self.upstreams,
+            "store": f"127.0.0.1:{self.ports['store']}",
+        }
+
+    async def stop(self) -> None:
+        """Stop all processes, the daemons first."""
+        await asyncio.gather(*(stop(entry.process) for entry in self.entries))
+        if self.standins is not None:
+            await stop(self.standins)
+
+
+async def ask_ready(port: int) -> bool:
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://127.0.0.1:{port}/ready") as response,
+        ):
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
--- /dev/null
+++ b/tools/sizes.py
@@ -0,0 +1,102 @@
+"""Bundles of a given size for the fleet script and the capacity measurements."""
+
+import itertools
+from dataclasses import dataclass
+
+from shallotspindle_keys import digests
+
+SALT = "00112233445566778899aabbccddeeff"
+RATE = 100_000.0
+DOMAINS = "abcdefgh"
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Numbers of things in a bundle.
+
+    :param services: upstreams of each named service.
+    :param rate: rate and burst of each team, in requests a second.
+    """
+
+    teams: int = 8
+    routes: int = 2
+    services: tuple[tuple[str, int], ...] = (("catalogue", 20), ("photos", 6))
+    rate: float = RATE
+
+    @property
+    def upstreams(self) -> int:
+        return sum(count for _, count in self.services)
+
+
+def parse_services(text: str) -> tuple[tuple[str, int], ...]:
+    """Parse ``catalogue=20,photos=6``.
+
+    :raises ValueError: when a count is not a number.
+    """
+    pairs = (item.partition("=") for item in text.split(","))
+    return tuple((name, int(count)) for name, _, count in pairs)
+
+
+def list_upstreams(size: Size) -> list[str]:
+    """Return the names of all upstreams, those of each service in turn."""
+    columns = (
+        [f"{name}-{n}" for n in range(1, count + 1)] for name, count in size.services
+    )
+    rows = itertools.zip_longest(*columns)
+    return [name for row in rows for name in row if name is not None]
+
+
+def build_team(number: int, rate: float) -> dict:
+    name = f"team-{number}"
+    digest = digests.digest_key(bytes.fromhex(SALT), f"key-{name}").hex()
+    return {"name": name, "rate": rate, "burst": rate, "key_digests": [digest]}
+
+
+def build_service(
+    name: str, count: int, addresses: dict[str, str], shared: list[str]
+) -> dict:
+    """Return a service; upstreams without a process share the given addresses."""
+    upstreams = [
+        {
+            "name": f"{name}-{n}",
+            "address": addresses.get(f"{name}-{n}", shared[n % len(shared)]),
+            "failure_domain": DOMAINS[n % 3],
+        }
+        for n in range(1, count + 1)
+    ]
+    return {"name": name, "upstreams": upstreams, "floor": max(1, count // 2)}
+
+
+def build_routes(size: Size) -> list[dict]:
+    """Return one route for each service and further ones below them."""
+    names = [name for name, _ in size.services]
+    routes = [
+        {"name": name, "prefix": f"/{name}", "service": name}
+        for name in names[: size.routes]
+    ]
+    for n in range(size.routes - len(routes)):
+        service = names[n % len(names)]
+        prefix = f"/{service}/r{n}"
+        routes.append({"name": f"route-{n}", "prefix": prefix, "service": service})
+    return routes
+
+
+def build_bundle(size: Size, addresses: dict[str, str], version: int) -> dict:
+    """Return the contents of a bundle file.
+
+    :param addresses: ``ip:port`` of the upstreams that run.
+    :param version: also changes one team's rate, so that no two bundles are equal.
+    """
+    shared = sorted(addresses.values())
+    teams = [build_team(n, size.rate) for n in range(1, size.teams + 1)]
+    teams[0]["rate"] += version
+    return {
+        "version": version,
+        "salt": SALT,
+        "teams": teams,
+        "services": [
+            build_service(name, count, addresses, shared)
+            for name, count in size.services
+        ],
+        "routes": build_routes(size),
+    }
