Refuse faults that the target does not have

A misspelt upstream ended a run in the middle, and an upstream that could not be asked for its runs lost the results of the whole run. Faults are now checked before the load starts, and missing counts are reported as such.

--- a/libraries/bench/shallotspindle_bench/client_test.py
+++ b/libraries/bench/shallotspindle_bench/client_test.py
@@ -99,3 +99,14 @@
             ]
             await faults.apply_all(scheduled, target)
         assert posted == [("/_behaviour", {"slow": 1}), ("/faults", {"down": True})]
+
+    def test_faults_that_the_target_cannot_have_are_all_reported(self):
+        # Guards against a run that stops in the middle at a misspelt upstream.
+        target = Target(instances=(Instance(name="i", callers=""),))
+        scheduled = [
+            Fault(at=0, target="store"),
+            Fault(at=0, target="upstream", upstream="u"),
+            Fault(at=0, target="signal", instance=3),
+            Fault(at=0, target="signal"),
+        ]
+        assert len(faults.check(scheduled, target).error) == len(scheduled)
--- a/libraries/bench/shallotspindle_bench/faults.py
+++ b/libraries/bench/shallotspindle_bench/faults.py
@@ -7,22 +7,45 @@
 from collections.abc import Iterable
 
 import aiohttp
+from expression import Error, Ok, Result
 
 from shallotspindle_bench.arrivals import Arrival
 from shallotspindle_bench.scenarios import Fault
 from shallotspindle_bench.targets import Target
+from shallotspindle_core.failures import Failure
 
 
 def find_address(fault: Fault, target: Target) -> str:
-    """Return the URL that a fault of a stand-in is posted to.
-
-    :raises KeyError: when the target has no such upstream.
-    """
+    """Return the URL that a fault of a stand-in is posted to."""
     if fault.target == "store":
         return f"http://{target.store}/faults"
     return f"http://{target.upstreams[fault.upstream]}/_behaviour"
 
 
+def find_missing(fault: Fault, target: Target) -> str:
+    """Return what a fault needs and the target does not have, or an empty text."""
+    match fault.target:
+        case "upstream" if fault.upstream not in target.upstreams:
+            return f"upstream {fault.upstream}"
+        case "store" if not target.store:
+            return "the store"
+        case "signal" if fault.instance >= len(target.instances):
+            return f"instance {fault.instance}"
+        case "signal" if not target.instances[fault.instance].pid:
+            return f"the process of instance {fault.instance}"
+    return ""
+
+
+def check(faults: Iterable[Fault], target: Target) -> Result[None, tuple[Failure, ...]]:
+    """Return a failure for each fault that cannot be set on a target."""
+    missing = tuple(
+        Failure(target.name, "a fault names something unknown", name)
+        for name in (find_missing(fault, target) for fault in faults)
+        if name
+    )
+    return Error(missing) if missing else Ok(None)
+
+
 async def apply(fault: Fault, target: Target, session: aiohttp.ClientSession) -> None:
     """Set one fault.
 
@@ -46,7 +69,10 @@
 
 
 async def read_runs(target: Target) -> Counter[str]:
-    """Return how often each marked request ran, over all upstreams."""
+    """Return how often each marked request ran, over all upstreams.
+
+    :raises aiohttp.ClientError: when an upstream does not answer.
+    """
     runs: Counter[str] = Counter()
     async with aiohttp.ClientSession() as session:
         for address in target.upstreams.values():
--- a/libraries/bench/shallotspindle_bench/main.py
+++ b/libraries/bench/shallotspindle_bench/main.py
@@ -11,7 +11,7 @@
 from cyclopts import App
 from expression import Result
 
-from shallotspindle_bench import plots, report, running, scenarios, targets
+from shallotspindle_bench import faults, plots, report, running, scenarios, targets
 from shallotspindle_core.failures import Failure
 
 EXIT_INVALID = 2
@@ -80,6 +80,7 @@
     loaded = unwrap(scenarios.load_scenario(scenario))
     loaded = loaded.scale(rate) if rate else loaded
     target = unwrap(targets.load_target(fleet, "fleet"))
+    unwrap(faults.check(loaded.faults, target))
     found = execute(running.run_scenario(loaded, target, seed))
     result = {**asdict(found.summary), "repeated": found.repeated}
     files = {
--- a/libraries/bench/shallotspindle_bench/report.py
+++ b/libraries/bench/shallotspindle_bench/report.py
@@ -37,6 +37,7 @@
     """Return the sentences that a reader needs first."""
     refused = result["refused_within_rate"]
     total = result["total"]
+    repeated = result["repeated"]
     named = ", ".join(f"{name} {n}" for name, n in sorted(refused.items()) if n)
     return [
         f"{total['sent']} requests, p99 {total['latency']['p99']:.1f} ms from the "
@@ -46,7 +47,8 @@
         f"({result['worst_team_share']:.2%} of its requests within rate).",
         f"Refused within rate: {sum(refused.values())}"
         + (f" ({named})." if named else "."),
-        f"Requests with an idempotency key that ran twice: {result['repeated']}.",
+        "Requests with an idempotency key that ran twice: "
+        f"{'the upstreams did not say' if repeated is None else repeated}.",
     ]
 
 
--- a/libraries/bench/shallotspindle_bench/running.py
+++ b/libraries/bench/shallotspindle_bench/running.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
+import aiohttp
+
 from shallotspindle_bench import arrivals, comparison, faults, progress, samples
 from shallotspindle_bench.client import Client
 from shallotspindle_bench.comparison import Block, Comparison
@@ -15,11 +17,12 @@
 class RunResult:
     """Results of a run.
 
-    :param repeated: requests with an idempotency key that ran more than once.
+    :param repeated: requests with an idempotency key that ran more than once; None
+        when the upstreams could not be asked.
     """
 
     summary: Summary
-    repeated: int
+    repeated: int | None
 
 
 async def run_scenario(scenario: Scenario, target: Target, seed: int) -> RunResult:
@@ -35,10 +38,17 @@
         async with Client(target) as client, asyncio.TaskGroup() as group:
             group.create_task(faults.apply_all(scenario.faults, target))
             group.create_task(client.send_all(schedule, 0.0, note))
-    repeated = faults.count_repeated(schedule, await faults.read_runs(target))
+    repeated = await read_repeated(schedule, target)
     return RunResult(samples.summarize(scenario, seed, found), repeated)
 
 
+async def read_repeated(schedule: list[arrivals.Arrival], target: Target) -> int | None:
+    try:
+        return faults.count_repeated(schedule, await faults.read_runs(target))
+    except aiohttp.ClientError:
+        return None
+
+
 async def warm_up(
     schedule: list[arrivals.Arrival], seconds: float, clients: dict[str, Client]
 ) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import json
+import os
 import re
+import resource
 import secrets
+import subprocess
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -101,27 +104,28 @@
             if name not in ("store", "list")
         }
 
-    async def publish(self) -> None:
-        """Sign off the next version of the bundle."""
+    async def publish(self) -> resource.struct_rusage:
+        """Sign off the next version of the bundle.
+
+        :returns: what the operators' command used.
+        """
         self.version += 1
         bundle = sizes.build_bundle(self.size, self.upstreams, self.version)
         path = self.folder / "bundle.json"
         path.write_text(json.dumps(bundle))
         key = self.folder / "signing-key"
         key.write_text(self._key.private_bytes_raw().hex())
-        process = await start_module(
-            "shallotspindle_operations.main",
-            *(
-                "publish",
-                str(path),
-                "--store",
-                f"http://127.0.0.1:{self.ports['store']}",
-            ),
-            *("--signer", SIGNER, "--key", str(key)),
-            stdout=asyncio.subprocess.DEVNULL,
+        store = f"http://127.0.0.1:{self.ports['store']}"
+        command = (sys.executable, "-m", "shallotspindle_operations.main", "publish")
+        options = ("--store", store, "--signer", SIGNER, "--key", str(key))
+        process = subprocess.Popen(
+            (*command, str(path), *options), stdout=subprocess.DEVNULL
         )
-        if await process.wait():
+        _, status, used = await asyncio.to_thread(os.wait4, process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
+        if process.returncode:
             raise RuntimeError(f"version {self.version} was not accepted")
+        return used
 
     async def start_entry(self, number: int, stop_wait: float = 0.5) -> Entry:
         """Start a daemon and wait until it is ready."""
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,130 @@
+"""Slopes of the control cost, fitted to the measured points, and the target size."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from statistics import linear_regression
+
+SECONDS_PER_DAY = 86_400
+TARGET = {"daemons": 770, "teams": 37_000, "routes": 4_100, "upstreams": 6_300}
+CHANGES_PER_DAY = 1_900
+STORE_VALUE_BYTES = 500_000
+
+
+@dataclass(frozen=True, slots=True)
+class Quantity:
+    """Something that was measured of a daemon.
+
+    :param read: takes the figure from a point.
+    :param digits: decimals in the tables.
+    """
+
+    name: str
+    unit: str
+    read: Callable[[dict], float]
+    scale: float = 1.0
+    digits: int = 3
+
+
+def read_quiet_cpu(point: dict) -> float:
+    """Return the share of a core without changes."""
+    return point["quiet"]["cpu_seconds"] / point["quiet"]["seconds"]
+
+
+def read_quiet_bytes(point: dict) -> float:
+    """Return the bytes a second without changes, both directions together."""
+    return point["quiet"]["transferred_bytes"] / point["quiet"]["seconds"]
+
+
+def read_rss(point: dict) -> float:
+    return point["changing"]["rss_bytes"]
+
+
+def read_extra(point: dict, name: str) -> float:
+    """Return what each change added to a quiet window of the same length."""
+    quiet, changing = point["quiet"], point["changing"]
+    expected = quiet[name] * changing["seconds"] / quiet["seconds"]
+    return (changing[name] - expected) / changing["changes"]
+
+
+def read_change_cpu(point: dict) -> float:
+    return read_extra(point, "cpu_seconds")
+
+
+def read_change_bytes(point: dict) -> float:
+    return read_extra(point, "transferred_bytes")
+
+
+def read_publish_cpu(point: dict) -> float:
+    changing = point["changing"]
+    return changing["publish_cpu_seconds"] / changing["changes"]
+
+
+def read_publish_rss(point: dict) -> float:
+    return point["changing"]["publish_peak_bytes"]
+
+
+def read_bundle(point: dict) -> float:
+    return point["bundle_bytes"]
+
+
+QUIET_CPU = Quantity("processor time, quiet", "% of a core", read_quiet_cpu, 100, 4)
+QUIET_BYTES = Quantity("traffic, quiet", "KB/s", read_quiet_bytes, 1e-3)
+RSS = Quantity("memory", "MB", read_rss, 1e-6, 2)
+CHANGE_CPU = Quantity("processor time of a change", "ms", read_change_cpu, 1e3, 1)
+CHANGE_BYTES = Quantity("traffic of a change", "KB", read_change_bytes, 1e-3, 1)
+PUBLISH_CPU = Quantity("publish, processor time", "s", read_publish_cpu, 1, 2)
+PUBLISH_RSS = Quantity("publish, peak memory", "MB", read_publish_rss, 1e-6, 1)
+BUNDLE = Quantity("bundle", "MB", read_bundle, 1e-6, 3)
+QUANTITIES = (
+    QUIET_CPU,
+    QUIET_BYTES,
+    RSS,
+    CHANGE_CPU,
+    CHANGE_BYTES,
+    PUBLISH_CPU,
+    PUBLISH_RSS,
+    BUNDLE,
+)
+
+
+def find_base(points: list[dict]) -> dict:
+    return next(item for item in points if item["point"]["axis"] == "base")
+
+
+def read_base(points: list[dict], quantity: Quantity) -> float:
+    return quantity.read(find_base(points)) * quantity.scale
+
+
+def fit_slope(points: list[dict], axis: str, quantity: Quantity) -> float:
+    """Return the growth of a quantity for each unit of an axis.
+
+    The points of the axis are fitted together with the base point.
+    """
+    used = [item for item in points if item["point"]["axis"] in (axis, "base")]
+    values = [item["point"]["value"] for item in used]
+    figures = [quantity.read(item) * quantity.scale for item in used]
+    return linear_regression(values, figures).slope
+
+
+def compute_added(points: list[dict], quantity: Quantity) -> float:
+    """Return the sum of all slopes at the target size, beyond the base point."""
+    return sum(
+        fit_slope(points, axis, quantity) * (count - 1)
+        for axis, count in TARGET.items()
+    )
+
+
+def compute_total(points: list[dict], quantity: Quantity) -> float:
+    """Return a quantity at the target size."""
+    return read_base(points, quantity) + compute_added(points, quantity)
+
+
+def count_chunks(points: list[dict]) -> int:
+    """Return the store values that the bundle of the target size takes."""
+    return -(-int(compute_total(points, BUNDLE) * 1e6) // STORE_VALUE_BYTES)
+
+
+def read_store_rate(point: dict, name: str) -> float:
+    """Return the calls of one daemon on the store a second without changes."""
+    calls = point["quiet"]["store_calls"][name]
+    return calls / point["quiet"]["seconds"] / point["point"]["daemons"]
--- /dev/null
+++ b/tools/usage.py
@@ -0,0 +1,77 @@
+"""Processor time, memory and network bytes of a process, read from /proc."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+KILOBYTE = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Totals of a process.
+
+    :param cpu: processor time since its start, in seconds.
+    :param rss: resident memory, in bytes.
+    :param transferred: bytes of its read and write calls. uvloop uses these calls on
+        TCP sockets; datagrams and the daemon's own log lines are not told apart.
+    """
+
+    cpu: float
+    rss: int
+    transferred: int
+
+
+def read_fields(path: Path) -> dict[str, int]:
+    pairs = (line.split(":") for line in path.read_text().splitlines())
+    return {
+        name: int(value.split()[0])
+        for name, value in pairs
+        if value.split() and value.split()[0].isdigit()
+    }
+
+
+def read_cpu(pid: int) -> float:
+    """Return the processor time of all live threads, in seconds.
+
+    The scheduler's figure is used, since a quiet daemon uses less than the 10 ms
+    steps of /proc/PID/stat in a window.
+    """
+    files = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(item.read_text().split()[0]) for item in files) / 1e9
+
+
+def read(pid: int) -> Usage:
+    """Return the totals of a process."""
+    status = read_fields(Path(f"/proc/{pid}/status"))
+    return Usage(
+        cpu=read_cpu(pid),
+        rss=status["VmRSS"] * KILOBYTE,
+        transferred=read_transferred(pid),
+    )
+
+
+def read_transferred(pid: int) -> int:
+    """Return the bytes of read and write calls; ``send`` and ``recv`` do not count."""
+    io = read_fields(Path(f"/proc/{pid}/io"))
+    return io["rchar"] + io["wchar"]
+
+
+def read_peak(pid: int) -> int:
+    """Return the highest resident memory since the last reset, in bytes."""
+    return read_fields(Path(f"/proc/{pid}/status"))["VmHWM"] * KILOBYTE
+
+
+def reset_peak(pid: int) -> None:
+    """Start the record of the highest resident memory again."""
+    Path(f"/proc/{pid}/clear_refs").write_text("5")
+
+
+async def read_calls(store: str) -> dict[str, int]:
+    """Return the calls on the store stand-in so far, by kind."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{store}/calls") as response,
+    ):
+        return await response.json()
