--- a/libraries/wire/shallotspindle_wire/codec.py
+++ b/libraries/wire/shallotspindle_wire/codec.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import types
 import typing
 from collections.abc import Callable, Iterable
@@ -80,7 +81,7 @@
 
 
 def _unpack_float(value: Any) -> float:
-    if type(value) not in (float, int) or value != value:
+    if type(value) not in (float, int) or math.isnan(value):
         raise _Mismatch("float")
     return float(value)
 
