Divide latencies by reported load and ask for more slow answers

Cause: with mixed kinds of request two or three long ones in a row made several instances suspect a healthy upstream, and queueing under overload looked slow. Change: a latency is divided by the reported load (at most 4), and the limit of the sum of ranks is 4 instead of 2.

--- a/libraries/bench/shallotspindle_bench/policies_fleet.py
+++ b/libraries/bench/shallotspindle_bench/policies_fleet.py
@@ -45,7 +45,14 @@
     def take_trial(self, now: float) -> str | None:
         return None
 
-    def record(self, name: str, outcome: Outcome, seconds: float, now: float) -> None:
+    def record(
+        self,
+        name: str,
+        outcome: Outcome,
+        seconds: float,
+        load: float | None,
+        now: float,
+    ) -> None:
         if outcome in {Outcome.WHOLE, Outcome.SHED}:
             self._errors[name] = 0
             return
--- a/libraries/health/shallotspindle_health/detection.py
+++ b/libraries/health/shallotspindle_health/detection.py
@@ -133,12 +133,19 @@
         self._move(standing, State.DRAINING if leaving else State.RAMPING, now)
         self.evaluate(now)
 
-    def record(self, name: str, outcome: Outcome, seconds: float, now: float) -> None:
+    def record(
+        self,
+        name: str,
+        outcome: Outcome,
+        seconds: float,
+        load: float | None,
+        now: float,
+    ) -> None:
         """Count an exchange with an upstream."""
         standing = self._standings.get(name)
         if standing is None:
             return
-        bad = self._statistics.add(name, outcome, seconds)
+        bad = self._statistics.add(name, outcome, seconds, load)
         if standing.state is State.EJECTED:
             if outcome not in NEUTRAL:
                 self._judge_trial(name, standing, bad, now)
--- a/libraries/health/shallotspindle_health/samples.py
+++ b/libraries/health/shallotspindle_health/samples.py
@@ -27,6 +27,8 @@
 # A shed answer is load; a cancelled request says nothing about the upstream.
 NEUTRAL = frozenset({Outcome.SHED, Outcome.CANCELLED})
 LATENCIES_KEPT = 16
+# Bounds what an upstream can excuse by a wrong load.
+MOST_LOAD = 4.0
 REFRESH_SAMPLES = 16
 
 
@@ -48,7 +50,7 @@
     slowness: float = 2.0
     rank_drift: float = 0.55
     failure_drift: float = 0.15
-    rank_limit: float = 2.0
+    rank_limit: float = 4.0
     failure_limit: float = 3.0
     suspect: float = 0.5
     pool: int = 12
@@ -83,8 +85,14 @@
         self._counters = {name: known.get(name, Counters()) for name in sorted(names)}
         self._until_refresh = 0
 
-    def add(self, name: str, outcome: Outcome, seconds: float) -> bool:
-        """Count an exchange; return whether it looked bad."""
+    def add(
+        self, name: str, outcome: Outcome, seconds: float, load: float | None
+    ) -> bool:
+        """Count an exchange; return whether it looked bad.
+
+        :param load: reported requests for each slot; time spent in the upstream's
+            queue says nothing about the upstream.
+        """
         counters = self._counters.get(name)
         if counters is None or outcome is Outcome.CANCELLED:
             return False
@@ -95,6 +103,7 @@
         self._add_failure(name, counters, failed, outcome)
         if failed and outcome is not Outcome.TIMED_OUT:
             return True
+        seconds /= min(MOST_LOAD, max(1.0, load or 0.0))
         rank = self._rank(counters, seconds)
         drift = self._thresholds.rank_drift
         counters.ranks = max(0.0, counters.ranks + rank - drift)
--- a/libraries/routing/shallotspindle_routing/dispatch.py
+++ b/libraries/routing/shallotspindle_routing/dispatch.py
@@ -32,7 +32,14 @@
     def take_trial(self, now: float) -> str | None:
         """Return an ejected upstream that should get a trial request."""
 
-    def record(self, name: str, outcome: Outcome, seconds: float, now: float) -> None:
+    def record(
+        self,
+        name: str,
+        outcome: Outcome,
+        seconds: float,
+        load: float | None,
+        now: float,
+    ) -> None:
         """Count an exchange."""
 
 
@@ -150,7 +157,7 @@
             place.latency += 0.1 * (seconds - place.latency)
             running = len(self._running)
             self._limiter.observe_whole(seconds, self._typical_load, running, now)
-        self._health.record(name, outcome, seconds, now)
+        self._health.record(name, outcome, seconds, load, now)
         return self.advance(now)
 
     def withdraw(self, number: int) -> None:
