--- a/libraries/limits/shallotspindle_limits/ledgers_test.py
+++ b/libraries/limits/shallotspindle_limits/ledgers_test.py
@@ -1,8 +1,9 @@
 import math
+from collections import Counter
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from shallotspindle_core import hashing
 from shallotspindle_core.identifiers import TeamName
@@ -16,7 +17,8 @@
 TOLERANCE = 1e-6
 INSTANCES = (0, 1, 2)
 PARTITIONS = sorted({shares.find_share_partition(TEAM, i) for i in range(4)})
-LIMITS = [Limit(1, 1), Limit(2, 3), Limit(10, 9), Limit(0.5, 64), Limit(5, 40)]
+LIMITS = [Limit(1, 1), Limit(2, 3), Limit(20, 9), Limit(5, 64), Limit(400, 160)]
+PAUSES = (0.0, 0.05, 0.2, 0.9, 1.0, 4.0, 20.0)
 
 
 class Source:
@@ -62,15 +64,14 @@
 
     def find_excess(self) -> float:
         """Return the largest excess over the bound, in requests, in any window."""
-        times = sorted(self.admissions)
-        return max(
-            (
-                last - first + 1 - self.find_bound(start, times[last])
-                for first, start in enumerate(times)
-                for last in range(first, len(times))
-            ),
-            default=0.0,
-        )
+        counts = sorted(Counter(self.admissions).items())
+        worst = 0.0
+        for first, (start, _) in enumerate(counts):
+            total = 0
+            for end, count in counts[first:]:
+                total += count
+                worst = max(worst, total - self.find_bound(start, end))
+        return worst
 
 
 class FleetMachine(RuleBasedStateMachine):
@@ -92,9 +93,9 @@
         self.changed_at = -math.inf
         self.limit = LIMITS[4]
         for partition in PARTITIONS:
-            self.ledgers[0].gain(partition, 1, None, self.now)
+            self.ledgers[0].gain(partition, 1, None, self.now - 50)
 
-    @rule(seconds=st.floats(0.0, 4.0))
+    @rule(seconds=st.sampled_from(PAUSES) | st.floats(0.0, 4.0))
     def advance(self, seconds: float) -> None:
         if self.now + seconds >= self.changed_at + CHANGE_SECONDS - 1:
             self.learn_all()
@@ -137,9 +138,19 @@
             self.naive.admissions.append(self.now)
             return
         total = shares.count_shares(self.tables[number].limit)
-        plan = wallet.plan(TEAM, total, lambda i: False, self.random, self.now)
+        plan = wallet.plan(TEAM, total, lambda i: 0, self.random, self.now)
         self.waiting += [(number, index, self.now) for index in plan[:1]]
 
+    @rule(number=st.sampled_from(INSTANCES))
+    def flood(self, number: int) -> None:
+        for _ in range(400):
+            self.waiting, kept = [], self.waiting
+            self.request_once(number)
+            asked, self.waiting = self.waiting, kept
+            for item in asked:
+                self.answer_one(*item, False)
+            self.deliver()
+
     @rule(data=st.data(), lost=st.booleans())
     def answer(self, data, lost: bool) -> None:
         for _ in range(min(8, len(self.waiting))):
@@ -196,11 +207,6 @@
         epoch = self.epochs[partition]
         self.ledgers[successor].gain(partition, epoch, state, self.now)
 
-    @invariant()
-    def few_admissions(self) -> None:
-        # The check of all windows takes quadratic time.
-        assert len(self.naive.admissions) < 5_000
-
     def teardown(self) -> None:
         assert self.naive.find_excess() <= TOLERANCE
 
@@ -315,10 +321,12 @@
         wallet, source = Wallet(), Source()
         wallet.begin(TEAM, 10.0)
         wallet.note_denied(TEAM, 2, Denied(0.5, 2.0), 10.0)
-        early = wallet.plan(TEAM, 4, lambda i: i == 3, source, 10.4)
+        early = wallet.plan(TEAM, 4, lambda i: i != 3, source, 10.4)
         assert early[0] == 3 and sorted(early) == [0, 1, 3]
         assert wallet.find_retry(TEAM, 4, 10.4) == 12.0 - 10.4
-        late = {i for _ in range(9) for i in wallet.plan(TEAM, 4, bool, source, 10.5)}
+        late = {
+            i for _ in range(9) for i in wallet.plan(TEAM, 4, lambda i: 0, source, 10.5)
+        }
         assert 2 in late
 
     def test_idle_teams_are_forgotten(self):
--- a/libraries/limits/shallotspindle_limits/wallets.py
+++ b/libraries/limits/shallotspindle_limits/wallets.py
@@ -1,7 +1,8 @@
 """What an asker knows of the shares of teams.
 
-Prepaid tokens are used first. Then shares are asked that may have tokens: own ones
-first, the others in random order, so that all askers use all shares alike.
+Prepaid tokens are used first. Then shares are asked that may have tokens, by the
+rank of their holders and in random order among equals, so that all askers use all
+shares alike.
 """
 
 import math
@@ -89,7 +90,7 @@
         self,
         team: TeamName,
         count: int,
-        is_own: Callable[[int], bool],
+        rank: Callable[[int], int],
         random: RandomSource,
         now: float,
     ) -> tuple[int, ...]:
@@ -99,15 +100,14 @@
         one, so that no admission is missed.
 
         :param count: number of shares of the team.
-        :param is_own: whether this instance holds a share.
+        :param rank: rank of the holder of a share; the lowest is asked first.
         """
         blocked = self._find(team).blocked
-        open_shares = [i for i in range(count) if blocked.get(i, now) <= now]
-        own = [index for index in open_shares if is_own(index)]
-        others = [index for index in open_shares if index not in own]
-        while others:
-            own.append(others.pop(random.randrange(len(others))))
-        return tuple(own[:MAX_TRIES])
+        left = [index for index in range(count) if blocked.get(index, now) <= now]
+        shuffled = []
+        while left:
+            shuffled.append(left.pop(random.randrange(len(left))))
+        return tuple(sorted(shuffled, key=rank)[:MAX_TRIES])
 
     def note_granted(
         self, team: TeamName, granted: Granted, sent_at: float, now: float
