--- /dev/null
+++ b/libraries/operations/shallotspindle_operations/file_commands.py
@@ -0,0 +1,59 @@
+"""Commands that work on files only."""
+
+import os
+from pathlib import Path
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cyclopts import App
+
+from shallotspindle_operations import options, outcomes
+from shallotspindle_operations.outcomes import Exit, Outcome
+from shallotspindle_settings import daemon
+from shallotspindle_settings.failures import SettingsFailure
+
+OWNER_ONLY = 0o600
+
+signer_app = App(name="signer", help="Keys of the persons who sign off.")
+
+
+@signer_app.command
+def create(name: str, path: Path, *, json: options.Json = False) -> int:
+    """Create the key pair of a person who signs off.
+
+    The file with the private key stays with the person; the public key goes into the
+    settings of every instance.
+
+    Example: shallotspindle signer create astrid astrid.key
+
+    :param name: Name of the person.
+    :param path: File to write the private key to; it must not exist.
+    :param json: Print the result as JSON.
+    """
+    key = Ed25519PrivateKey.generate()
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    try:
+        with os.fdopen(os.open(path, flags, OWNER_ONLY), "w") as file:
+            file.write(key.private_bytes_raw().hex() + "\n")
+    except OSError as error:
+        failure = SettingsFailure(str(path), str(error))
+        return outcomes.emit(outcomes.fail((failure,), Exit.INVALID), json)
+    public = key.public_key().public_bytes_raw().hex()
+    lines = (f"{path}: private key of {name}", f'"signers": {{"{name}": "{public}"}}')
+    data = {"name": name, "path": str(path), "public_key": public}
+    return outcomes.emit(Outcome(Exit.DONE, lines, data), json)
+
+
+def check(path: Path, *, json: options.Json = False) -> int:
+    """Check the settings file of an instance and print all its failures.
+
+    Example: shallotspindle check entry.json
+
+    :param path: JSON file with the settings.
+    :param json: Print the result as JSON.
+    """
+    loaded = daemon.load_settings(path)
+    if loaded.is_error():
+        return outcomes.emit(outcomes.fail(loaded.error, Exit.INVALID), json)
+    line = f"{path}: the settings of {loaded.ok.name} are valid"
+    data = {"path": str(path), "name": loaded.ok.name}
+    return outcomes.emit(Outcome(Exit.DONE, (line,), data), json)
--- /dev/null
+++ b/libraries/operations/shallotspindle_operations/options.py
@@ -0,0 +1,71 @@
+"""Options that several commands share."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cyclopts import Parameter
+from expression import Error, Ok, Result
+
+from shallotspindle_operations import outcomes
+from shallotspindle_operations.outcomes import Exit, Outcome
+from shallotspindle_platform.etcd import EtcdStore
+from shallotspindle_platform.interface import Store
+from shallotspindle_settings.failures import SettingsFailure
+
+Json = Annotated[bool, Parameter(name="--json", negative="")]
+StoreUrl = Annotated[str, Parameter(name="--store")]
+Instances = Annotated[
+    tuple[str, ...], Parameter(name="--instance", negative="", consume_multiple=False)
+]
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class Signer:
+    """The person who signs.
+
+    :param signer: Name of the person who signs.
+    :param key: File with the person's private key in hex.
+    """
+
+    signer: str
+    key: Path
+
+
+def read_key(path: Path) -> Result[Ed25519PrivateKey, SettingsFailure]:
+    """Read a private key; the failure does not show the content of the file."""
+    try:
+        raw = bytes.fromhex(path.read_text().strip())
+        return Ok(Ed25519PrivateKey.from_private_bytes(raw))
+    except OSError as error:
+        return Error(SettingsFailure(str(path), str(error)))
+    except ValueError:
+        message = "the file has no Ed25519 private key in hex"
+        return Error(SettingsFailure(str(path), message))
+
+
+def run_with_store(url: str, action: Callable[[Store], Awaitable[Outcome]]) -> Outcome:
+    """Run an action with a connection to the store."""
+
+    async def run() -> Outcome:
+        async with aiohttp.ClientSession() as session:
+            return await action(EtcdStore(session, url))
+
+    return asyncio.run(run())
+
+
+def run_signed(
+    url: str,
+    signer: Signer,
+    action: Callable[[Store, Ed25519PrivateKey], Awaitable[Outcome]],
+) -> Outcome:
+    """Run an action with a connection to the store and a person's key."""
+    key = read_key(signer.key)
+    if key.is_error():
+        return outcomes.fail((key.error,), Exit.INVALID)
+    return run_with_store(url, lambda store: action(store, key.ok))
--- a/libraries/operations/shallotspindle_operations/publishing.py
+++ b/libraries/operations/shallotspindle_operations/publishing.py
@@ -1,72 +1,284 @@
 """Signs a bundle off and puts it into the store.
 
-The chunks are written first; the one replacement of the manifest accepts the bundle.
+The chunks and the delta are written first; the one replacement of the manifest
+accepts the bundle. A writer whose answer was lost recognises its own manifest.
 """
 
+from dataclasses import dataclass
+
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from expression import Error, Ok, Result
 
-from shallotspindle_bundles import manifests
+from shallotspindle_bundles import buckets, deltas, differences, manifests
+from shallotspindle_bundles.deltas import Delta
+from shallotspindle_bundles.differences import Change
 from shallotspindle_bundles.manifests import Manifest
+from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.failures import Failure
 from shallotspindle_platform.interface import Conflict, OutcomeUnknown, Store
-from shallotspindle_settings import bundle, manifest
-from shallotspindle_settings.bundle import BundleModel
+from shallotspindle_settings import chunks, manifest
+from shallotspindle_settings import deltas as delta_forms
+from shallotspindle_settings.chunks import Index
+
+EMPTY = Bundle(0, b"")
+
+
+@dataclass(frozen=True, slots=True)
+class VersionConflict(Failure):
+    """Another bundle was accepted first; this one was not."""
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidManifest(Failure):
+    """A signed manifest does not belong to the bundle."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The accepted bundle as the store has it.
+
+    :param revision: revision of the manifest; 0 before the first bundle.
+    """
+
+    bundle: Bundle = EMPTY
+    index: Index | None = None
+    revision: int = 0
+    manifest: Manifest | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A signed bundle that is ready to be written.
+
+    :param chunks: chunks that the accepted bundle does not have, by digest.
+    :param delta: stored delta from the accepted bundle.
+    """
+
+    manifest: Manifest
+    chunks: tuple[tuple[str, bytes], ...]
+    delta: bytes
+    changes: tuple[Change, ...]
+
+
+async def read_accepted(store: Store) -> Result[Accepted, Failure]:
+    """Read the accepted bundle; its signature is for instances to verify."""
+    entry = await store.get(manifest.MANIFEST_KEY)
+    if entry.is_error():
+        return Error(entry.error)
+    if entry.ok.revision == 0:
+        return Ok(Accepted())
+    parsed = manifest.parse_manifest(entry.ok.data)
+    if parsed.is_error():
+        return Error(parsed.error[0])
+    content = await read_content(store, parsed.ok)
+    return content.map(
+        lambda found: Accepted(found[0], found[1], entry.ok.revision, parsed.ok)
+    )
+
+
+async def read_version(store: Store) -> Result[int, Failure]:
+    """Read the version of the accepted bundle; 0 before the first one."""
+    entry = await store.get(manifest.MANIFEST_KEY)
+    if entry.is_error():
+        return Error(entry.error)
+    if entry.ok.revision == 0:
+        return Ok(0)
+    parsed = manifest.parse_manifest(entry.ok.data)
+    return Error(parsed.error[0]) if parsed.is_error() else Ok(parsed.ok.version)
+
+
+async def read_chunk(store: Store, digest: str) -> Result[bytes, Failure]:
+    """Read a chunk and check its digest."""
+    if not digest:
+        return Ok(b"")
+    entry = await store.get(manifest.CHUNK_PREFIX + digest)
+    if entry.is_error():
+        return Error(entry.error)
+    if manifests.digest_chunk(entry.ok.data) != digest:
+        return Error(Failure("store", "a chunk is missing or damaged", digest))
+    return Ok(entry.ok.data)
+
+
+async def read_content(
+    store: Store, found: Manifest
+) -> Result[tuple[Bundle, Index], Failure]:
+    """Read the index and all chunks of a bundle."""
+    data = await read_chunk(store, found.chunks[0] if found.chunks else "")
+    if data.is_error():
+        return Error(data.error)
+    index = chunks.decode_index(data.ok)
+    if index.is_error():
+        return Error(index.error)
+    assembly = chunks.Assembly(found.version)
+    for place in buckets.PLACES:
+        chunk = await read_chunk(store, index.ok[place])
+        if chunk.is_error():
+            return Error(chunk.error)
+        failure = assembly.add(place, chunk.ok)
+        if failure is not None:
+            return Error(failure)
+    return Ok((assembly.build(), index.ok))
+
+
+def propose(
+    accepted: Accepted,
+    bundle: Bundle,
+    signer: str,
+    key: Ed25519PrivateKey,
+    attempt: str,
+) -> Result[Proposal, VersionConflict]:
+    """Sign a bundle that follows the accepted one.
+
+    :param attempt: random text that marks this write.
+    """
+    parent = accepted.bundle.version
+    if bundle.version != parent + 1:
+        return Error(
+            VersionConflict(
+                f"bundle {bundle.version}",
+                "it does not follow the accepted bundle",
+                f"accepted is version {parent}",
+            )
+        )
+    content = encode(accepted, bundle)
+    unsigned = Manifest(bundle.version, parent, signer, attempt, (content.name,))
+    return Ok(
+        Proposal(
+            manifests.sign(unsigned, key),
+            content.chunks,
+            content.delta,
+            content.changes,
+        )
+    )
+
 
-CHUNK_BYTES = 500_000
+@dataclass(frozen=True, slots=True)
+class Content:
+    """Stored form of a bundle; ``name`` is the digest of its index."""
 
+    name: str
+    chunks: tuple[tuple[str, bytes], ...]
+    delta: bytes
+    changes: tuple[Change, ...]
 
-def split_chunks(text: str) -> list[bytes]:
-    """Cut the text of a bundle into chunks below the limit of a value."""
-    data = text.encode()
-    return [data[n : n + CHUNK_BYTES] for n in range(0, len(data), CHUNK_BYTES)]
+
+def encode(accepted: Accepted, bundle: Bundle) -> Content:
+    """Encode the chunks that differ from the accepted bundle, and the delta."""
+    changes = differences.compare(accepted.bundle, bundle)
+    if accepted.index is None:
+        index, encoded = chunks.build_index(bundle)
+    else:
+        touched = buckets.list_touched(changes)
+        index, encoded = chunks.build_index(bundle, accepted.index, touched)
+    data = chunks.encode_index(index)
+    name = manifests.digest_chunk(data)
+    delta = Delta(bundle.version, accepted.bundle.version, changes)
+    written = (*encoded.items(), (name, data))
+    return Content(name, written, delta_forms.encode_delta(delta), changes)
+
+
+def propose_signed(
+    accepted: Accepted, bundle: Bundle, signed: Manifest
+) -> Result[Proposal, Failure]:
+    """Check that a manifest signed before belongs to a bundle that may follow."""
+    source = f"bundle {bundle.version}"
+    if accepted.bundle.version != signed.parent:
+        item = f"accepted is version {accepted.bundle.version}"
+        message = "it does not follow the accepted bundle"
+        return Error(VersionConflict(source, message, item))
+    content = encode(accepted, bundle)
+    if (signed.version, signed.chunks) != (bundle.version, (content.name,)):
+        return Error(InvalidManifest(source, "the manifest is of another bundle"))
+    return Ok(Proposal(signed, content.chunks, content.delta, content.changes))
 
 
 async def write_chunk(store: Store, chunk: bytes) -> Failure | None:
     """Store a chunk under its digest; one that is there already is the same."""
     key = manifest.CHUNK_PREFIX + manifests.digest_chunk(chunk)
     written = await store.replace(key, chunk, 0)
+    if written.is_error() and isinstance(written.error, OutcomeUnknown):
+        written = await store.replace(key, chunk, 0)
     if written.is_ok() or isinstance(written.error, Conflict):
         return None
     return written.error
 
 
+async def write_delta(store: Store, proposal: Proposal) -> None:
+    """Store the delta in its slot; without it instances read the changed chunks.
+
+    It is written before acceptance, because instances ask for it within milliseconds
+    after it, and again afterwards if the loser of a race overwrote it. A failure is
+    not reported.
+    """
+    slot = deltas.find_slot(proposal.manifest.version)
+    key = f"{delta_forms.DELTA_PREFIX}{slot}"
+    current = await store.get(key)
+    if current.is_ok() and current.ok.data != proposal.delta:
+        await store.replace(key, proposal.delta, current.ok.revision)
+
+
 async def publish(
-    store: Store,
-    model: BundleModel,
-    signer: str,
-    key: Ed25519PrivateKey,
-    attempt: str,
+    store: Store, accepted: Accepted, proposal: Proposal
 ) -> Result[Manifest, Failure]:
-    """Sign a bundle and make it the accepted one.
+    """Make a proposal the accepted bundle.
 
-    :param attempt: random text that marks this write.
+    :returns: the manifest, ``VersionConflict`` when somebody else was first, or
+        ``OutcomeUnknown`` when the store does not tell.
     """
-    current = await store.get(manifest.MANIFEST_KEY)
-    if current.is_error():
-        return Error(current.error)
-    chunks = split_chunks(bundle.format_bundle(model))
-    for chunk in chunks:
+    for _, chunk in proposal.chunks:
         failure = await write_chunk(store, chunk)
+        if isinstance(failure, OutcomeUnknown):
+            # Nothing is accepted before the manifest is written.
+            return Error(Failure(failure.source, "a chunk was not written"))
         if failure is not None:
             return Error(failure)
-    digests = tuple(map(manifests.digest_chunk, chunks))
-    unsigned = Manifest(model.version, model.version - 1, signer, attempt, digests)
-    signed = manifests.sign(unsigned, key)
-    data = manifest.format_manifest(signed)
-    written = await store.replace(manifest.MANIFEST_KEY, data, current.ok.revision)
-    if written.is_ok():
-        return Ok(signed)
-    if isinstance(written.error, OutcomeUnknown):
-        return await confirm(store, signed, data, written.error)
-    return Error(written.error)
+    await write_delta(store, proposal)
+    data = manifest.format_manifest(proposal.manifest)
+    written = await store.replace(manifest.MANIFEST_KEY, data, accepted.revision)
+    failure = written.error if written.is_error() else None
+    if isinstance(failure, OutcomeUnknown | Conflict):
+        failure = await confirm(store, proposal.manifest, data, failure)
+    if failure is not None:
+        return Error(failure)
+    await write_delta(store, proposal)
+    return Ok(proposal.manifest)
 
 
 async def confirm(
     store: Store, signed: Manifest, data: bytes, failure: Failure
-) -> Result[Manifest, Failure]:
-    """Read back after a lost answer and recognise the own write."""
+) -> Failure | None:
+    """Read back and recognise the own write by its attempt identifier.
+
+    :returns: None when the own manifest was accepted.
+    """
     found = await store.get(manifest.MANIFEST_KEY)
-    if found.is_ok() and found.ok.data == data:
-        return Ok(signed)
-    return Error(failure)
+    if found.is_error():
+        return failure
+    if found.ok.data == data:
+        return None
+    if isinstance(failure, OutcomeUnknown):
+        return find_outcome(signed, found.ok.data, failure)
+    return build_conflict(signed, found.ok.data)
+
+
+def build_conflict(signed: Manifest, data: bytes) -> VersionConflict:
+    """Name the person whose bundle was accepted instead."""
+    parsed = manifest.parse_manifest(data)
+    item = "no bundle is accepted"
+    if parsed.is_ok():
+        item = f"version {parsed.ok.version} by {parsed.ok.signer}"
+    message = "another bundle was accepted first"
+    return VersionConflict(f"bundle {signed.version}", message, item)
+
+
+def find_outcome(signed: Manifest, data: bytes, failure: Failure) -> Failure:
+    """Decide what a lost write did from the manifest that is stored now.
+
+    A parent that is still stored may yet be replaced by a late write, so its outcome
+    stays unknown. With the same version by another attempt, this one lost. With a
+    later version both are possible.
+    """
+    parsed = manifest.parse_manifest(data)
+    if parsed.is_ok() and parsed.ok.version == signed.version:
+        return build_conflict(signed, data)
+    return failure
--- /dev/null
+++ b/libraries/operations/shallotspindle_operations/publishing_test.py
@@ -0,0 +1,92 @@
+from dataclasses import replace
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from shallotspindle_bundles import teams
+from shallotspindle_bundles.records import Bundle, Team
+from shallotspindle_operations import publishing
+from shallotspindle_operations.publishing import VersionConflict
+from shallotspindle_platform.interface import OutcomeUnknown
+from shallotspindle_platform.memory import MemoryStore
+from shallotspindle_settings import manifest
+
+KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
+FIRST = Bundle(1, b"s" * 16, teams.build_teams([Team("dealer", 1.0, 1.0)]))
+
+
+async def prepare(store, bundle, attempt):
+    accepted = (await publishing.read_accepted(store)).ok
+    proposal = publishing.propose(accepted, bundle, "astrid", KEY, attempt).ok
+    return accepted, proposal
+
+
+class TestPublishing:
+    async def test_accepted_bundle_reads_back_equal(self):
+        store = MemoryStore()
+        published = await publishing.publish(store, *await prepare(store, FIRST, "a"))
+        assert published.is_ok()
+        accepted = (await publishing.read_accepted(store)).ok
+        assert accepted.bundle == FIRST
+
+    async def test_of_two_operators_one_wins(self):
+        # Guards against a second operator who silently replaces the first one's bundle.
+        store = MemoryStore()
+        one, two = await prepare(store, FIRST, "a"), await prepare(store, FIRST, "b")
+        assert (await publishing.publish(store, *one)).is_ok()
+        lost = await publishing.publish(store, *two)
+        assert isinstance(lost.error, VersionConflict)
+        late = (await publishing.read_accepted(store)).ok
+        proposal = publishing.propose(late, FIRST, "astrid", KEY, "c")
+        assert isinstance(proposal.error, VersionConflict)
+
+    async def test_every_lost_answer_is_resolved_by_reading_back(self):
+        # Guards against a second publication after an answer that was lost.
+        store = MemoryStore()
+        prepared = await prepare(store, FIRST, "a")
+        store.lose_answers = 100
+        assert (await publishing.publish(store, *prepared)).is_ok()
+        store.lose_answers = 0
+        assert (await publishing.read_version(store)).ok == 1
+
+    async def test_lost_answer_of_the_loser_is_a_conflict(self):
+        store = MemoryStore()
+        one, two = await prepare(store, FIRST, "a"), await prepare(store, FIRST, "b")
+        await publishing.publish(store, *one)
+        unknown = OutcomeUnknown("store", "lost")
+        data = manifest.format_manifest(two[1].manifest)
+        found = await publishing.confirm(store, two[1].manifest, data, unknown)
+        assert isinstance(found, VersionConflict)
+
+    async def test_outcome_is_unknown_while_the_store_does_not_tell(self):
+        # Guards against a write that arrives late and was reported as failed.
+        store = MemoryStore()
+        _, proposal = await prepare(store, FIRST, "a")
+        unknown = OutcomeUnknown("store", "lost")
+        data = manifest.format_manifest(proposal.manifest)
+        found = await publishing.confirm(store, proposal.manifest, data, unknown)
+        assert found is unknown
+        store.down = True
+        found = await publishing.confirm(store, proposal.manifest, data, unknown)
+        assert found is unknown
+
+    async def test_change_of_one_team_writes_two_chunks(self):
+        # Guards against a small change that rewrites the whole bundle.
+        store = MemoryStore()
+        many = replace(
+            FIRST, teams=teams.build_teams(Team(f"t{n}", 1.0, 1.0) for n in range(999))
+        )
+        await publishing.publish(store, *await prepare(store, many, "a"))
+        table = teams.replace_teams(many.teams, {"t7": Team("t7", 2.0, 1.0)})
+        changed = replace(many, version=2, teams=table)
+        _, proposal = await prepare(store, changed, "b")
+        assert len(proposal.chunks) == 2
+        assert len(proposal.delta) < 300
+
+    async def test_signed_manifest_belongs_to_one_bundle(self):
+        # Guards against a sign-off that is used for another bundle.
+        store = MemoryStore()
+        accepted, proposal = await prepare(store, FIRST, "a")
+        other = replace(FIRST, salt=b"t" * 16)
+        same = publishing.propose_signed(accepted, FIRST, proposal.manifest)
+        assert same.ok == proposal
+        assert publishing.propose_signed(accepted, other, proposal.manifest).is_error()
