--- /dev/null
+++ b/libraries/settings/shallotspindle_settings/chunks_test.py
@@ -0,0 +1,93 @@
+import pytest
+
+from shallotspindle_bundles import buckets, differences, records, teams
+from shallotspindle_bundles.buckets import Place, Section
+from shallotspindle_bundles.deltas import Delta
+from shallotspindle_bundles.records import (
+    Bundle,
+    KeyRule,
+    Route,
+    Service,
+    Team,
+    Upstream,
+)
+from shallotspindle_settings import bundle, chunks, deltas
+
+UPSTREAM = Upstream("stock-1", "10.0.0.1:80", "a", draining=True)
+ROUTE = Route(
+    "stock",
+    "/stock",
+    "stock",
+    host="example.org",
+    methods=frozenset({"GET"}),
+    idempotent_methods=frozenset(),
+    idempotency_key=KeyRule.REQUIRED,
+)
+BUNDLE = Bundle(
+    3,
+    b"s" * 16,
+    teams.build_teams(
+        Team(f"team-{n}", 1.5, 2.0, (bytes([n]) * 32,)) for n in range(99)
+    ),
+    {"stock": Service("stock", (UPSTREAM,), 1)},
+    records.order_routes([ROUTE, Route("all", "/", "stock", open=True, team="team-1")]),
+    frozenset({b"w" * 32}),
+)
+
+
+def assemble(index, encoded, version=3):
+    assembly = chunks.Assembly(version)
+    for place, digest in index.items():
+        assert assembly.add(place, encoded.get(digest, b"")) is None
+    return assembly
+
+
+class TestChunks:
+    def test_bundle_survives_its_stored_form(self):
+        index, encoded = chunks.build_index(BUNDLE)
+        assembly = assemble(index, encoded)
+        assert assembly.check() == ()
+        assert assembly.build() == BUNDLE
+        data = chunks.encode_index(index)
+        assert chunks.decode_index(data).ok == index
+        for digest, chunk in encoded.items():
+            assert chunks.find_chunk(BUNDLE, index, digest) == chunk
+
+    def test_bundle_survives_its_file_form(self):
+        text = bundle.format_bundle(bundle.describe_bundle(BUNDLE))
+        assert bundle.parse_bundle("file", text).ok == BUNDLE
+
+    @pytest.mark.parametrize("data", [b"[", b"{}", b'[{"name":"x"}]', b"\xff"])
+    def test_damaged_chunk_is_a_failure(self, data):
+        assembly = chunks.Assembly(3)
+        assert assembly.add(Place(Section.TEAMS, 0), data) is not None
+
+    def test_team_in_a_wrong_or_repeated_place_is_a_failure(self):
+        # Guards against a team that the lookup by hash never finds.
+        index, encoded = chunks.build_index(BUNDLE)
+        place = next(p for p in index if p.section == Section.TEAMS and index[p])
+        other = Place(Section.TEAMS, (place.number + 1) % teams.BUCKET_COUNT)
+        chunk = encoded[index[place]]
+        assembly = assemble(index, encoded)
+        assert assembly.add(other, chunk) is not None
+        assert assembly.add(place, b"[" + b",".join([chunk[1:-1]] * 2) + b"]")
+
+
+class TestDeltas:
+    def test_delta_survives_its_stored_form(self):
+        # Guards against a change that is lost on its way to an instance.
+        before = Bundle(2, b"t" * 16, teams.EMPTY, {"old": Service("old", (), 0)})
+        delta = Delta(3, 2, differences.compare(before, BUNDLE))
+        stored = deltas.decode_delta(deltas.encode_delta(delta)).ok
+        after = differences.apply(before, stored.changes, 3)
+        assert after == BUNDLE
+        back = Delta(4, 3, differences.compare(BUNDLE, before))
+        stored = deltas.decode_delta(deltas.encode_delta(back)).ok
+        assert differences.apply(BUNDLE, stored.changes, 2) == before
+        assert buckets.list_touched(stored.changes) == buckets.list_touched(
+            back.changes
+        )
+
+    def test_damaged_delta_is_a_failure(self):
+        for data in (b"", b"{}", b'{"version":1,"parent":0,"salt":"xyz"}'):
+            assert deltas.decode_delta(data).is_error()
--- a/libraries/settings/shallotspindle_settings/daemon.py
+++ b/libraries/settings/shallotspindle_settings/daemon.py
@@ -1,9 +1,17 @@
 """Settings of the entry daemon, validated at the border."""
 
 from pathlib import Path
+from typing import Annotated, Self
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
 
 from shallotspindle_settings import failures
 
@@ -11,7 +19,11 @@
 class Model(BaseModel):
     """Base of all models: unknown fields are refused and values are frozen."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+PublicKey = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Url = Annotated[str, Field(pattern=r"^https?://[^\s/]+")]
 
 
 class Address(Model):
@@ -20,30 +32,59 @@
     :param port: 0 lets the kernel pick one.
     """
 
-    host: str = "127.0.0.1"
+    host: str = Field(default="127.0.0.1", min_length=1)
     port: int = Field(default=0, ge=0, le=65535)
 
 
+class Tls(Model):
+    """Certificate of the callers' socket, read again when the files change.
+
+    :param certificate: PEM file with the certificate chain.
+    :param private_key: PEM file with the private key.
+    """
+
+    certificate: str = Field(min_length=1)
+    private_key: str = Field(min_length=1)
+    reload_seconds: float = Field(default=60.0, gt=0)
+
+
 class EntrySettings(Model):
     """Settings of one instance.
 
+    :param failure_domains: all failure domains of the fleet; an instance that starts
+        while the store is away needs answers from a majority of them.
     :param signers: Ed25519 public keys in hex of the persons who may sign off.
     :param fleet_secret: shared secret of the peers' frames in hex, 32 bytes.
     :param stop_wait_seconds: time between readiness false and the end of accepting.
     """
 
-    name: str
-    failure_domain: str
+    name: str = Field(min_length=1)
+    failure_domain: str = Field(min_length=1)
+    failure_domains: tuple[str, ...] = ()
     callers: Address = Address()
+    tls: Tls | None = None
     administration: Address = Address()
     peers: Address = Address()
-    store_url: str
-    instance_list_url: str
-    signers: dict[str, str]
+    store_url: Url
+    instance_list_url: Url
+    signers: dict[str, PublicKey]
     fleet_secret: str = Field(pattern=r"^[0-9a-f]{64}$")
     stop_wait_seconds: float = Field(default=5.0, ge=0)
     stop_limit_seconds: float = Field(default=60.0, ge=0)
 
+    @field_validator("failure_domains")
+    @classmethod
+    def check_domains(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        if len(set(value)) != len(value):
+            raise ValueError("a failure domain is listed twice")
+        return value
+
+    @model_validator(mode="after")
+    def check_own_domain(self) -> Self:
+        if self.failure_domains and self.failure_domain not in self.failure_domains:
+            raise ValueError("failure_domain is not one of failure_domains")
+        return self
+
 
 def load_settings(
     path: Path,
@@ -54,7 +95,7 @@
     """
     try:
         text = path.read_text()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         return Error((failures.SettingsFailure(str(path), str(error)),))
     try:
         return Ok(EntrySettings.model_validate_json(text))
--- /dev/null
+++ b/libraries/settings/shallotspindle_settings/schemas.py
@@ -0,0 +1,37 @@
+"""JSON Schema files of all models that people write.
+
+Run as a program, it writes the files; a test compares them with the models.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from shallotspindle_settings.bundle import BundleModel
+from shallotspindle_settings.daemon import EntrySettings, Model
+from shallotspindle_settings.withdrawal import WithdrawalModel
+
+MODELS: dict[str, type[Model]] = {
+    "bundle": BundleModel,
+    "entry-settings": EntrySettings,
+    "withdrawal": WithdrawalModel,
+}
+
+
+def format_schema(model: type[Model]) -> str:
+    """Return the text of a model's schema file."""
+    schema = {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        **model.model_json_schema(),
+    }
+    return json.dumps(schema, indent=2, sort_keys=True) + "\n"
+
+
+def write_schemas(folder: Path) -> None:
+    """Write the schema files of all models."""
+    for name, model in MODELS.items():
+        (folder / f"{name}.schema.json").write_text(format_schema(model))
+
+
+if __name__ == "__main__":
+    write_schemas(Path(sys.argv[1]))
