--- a/libraries/entry/shallotspindle_entry/certificates.py
+++ b/libraries/entry/shallotspindle_entry/certificates.py
@@ -8,8 +8,6 @@
 from absl import logging
 from aiomisc import Service
 
-CHECK_SECONDS = 10.0
-
 
 def build_context(certificate: Path, private_key: Path) -> ssl.SSLContext:
     """Return a server context for a certificate chain and its key."""
@@ -20,16 +18,21 @@
 
 
 class CertificateReloader(Service):
-    """Loads a changed certificate into the context; open connections stay."""
+    """Loads a changed certificate into the context; open connections stay.
+
+    :param interval: time between two looks at the files, in seconds.
+    """
 
     def __init__(
         self,
         context: ssl.SSLContext,
         certificate: Path,
         private_key: Path,
+        interval: float,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._interval = interval
         self._context = context
         self._paths = (certificate, private_key)
         self._seen = self._read_times()
@@ -40,7 +43,7 @@
     async def start(self) -> None:
         self.start_event.set()
         while True:
-            await asyncio.sleep(CHECK_SECONDS)
+            await asyncio.sleep(self._interval)
             self.reload()
 
     def reload(self) -> bool:
--- a/libraries/entry/shallotspindle_entry/claims.py
+++ b/libraries/entry/shallotspindle_entry/claims.py
@@ -40,9 +40,9 @@
     Abandon,
     Answer,
     Claim,
+    Claimed,
     DifferentBody,
     Dropped,
-    Granted,
     LedgerState,
     NotEntitled,
     Outcome,
@@ -297,7 +297,7 @@
         self, message: Claim, reply: Any, deadline: float
     ) -> ClaimAnswer:
         match reply:
-            case Granted():
+            case Claimed():
                 return await self._begin(message, deadline)
             case Present():
                 return await self._replay(message, reply, deadline)
--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -32,6 +32,7 @@
 from shallotspindle_settings import chunks
 
 EMPTY = bundle_loading.EMPTY
+Listener = Callable[[Configuration, Configuration], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,7 @@
     ) -> None:
         super().__init__(**kwargs)
         self.current: Configuration = EMPTY
+        self._listeners: list[Listener] = []
         self.ready = False
         self._signers = signers
         self._peers = peers
@@ -97,6 +99,10 @@
             None if peers is None else PeerFollower(peers, self, own, domains)
         )
 
+    def subscribe(self, listener: Listener) -> None:
+        """Call a function with the old and the new configuration at each change."""
+        self._listeners.append(listener)
+
     @property
     def version(self) -> int:
         """Version of the bundle at hand, also before this instance is ready."""
@@ -220,7 +226,10 @@
             return
         found = self._loaded.configuration
         refused = found.bundle.withdrawn | self._withdrawals.keys()
+        before = self.current
         self.current = replace(found, keys=directory.withdraw(found.keys, refused))
+        for listener in self._listeners:
+            listener(before, self.current)
 
     def _take_withdrawals(self, received: tuple[Withdrawal, ...]) -> Failure | None:
         """Add the valid statements; return the failure of the last one that is not."""
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -0,0 +1,176 @@
+"""Connects the tasks that act together with other instances."""
+
+import random
+import secrets
+import socket
+from dataclasses import dataclass
+
+import aiohttp
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
+
+from shallotspindle_bundles import differences
+from shallotspindle_core.clock import Clock
+from shallotspindle_core.identifiers import (
+    FailureDomain,
+    Incarnation,
+    Instance,
+    TeamName,
+)
+from shallotspindle_entry import admission, bundle_messages, claims
+from shallotspindle_entry.admission import AdmissionTask
+from shallotspindle_entry.bundle_loading import Configuration
+from shallotspindle_entry.bundle_messages import PeerDigest
+from shallotspindle_entry.claims import ClaimsTask
+from shallotspindle_entry.configuration import ConfigurationTask
+from shallotspindle_entry.ownership import OwnershipTask
+from shallotspindle_entry.peers import Peers
+from shallotspindle_idempotency import messages as claim_messages
+from shallotspindle_limits import records as limit_records
+from shallotspindle_limits.records import Limit
+from shallotspindle_membership.heartbeats import Progress
+from shallotspindle_ownership import messages as ownership_messages
+from shallotspindle_platform.etcd import EtcdStore
+from shallotspindle_platform.listing import HttpInstanceList
+from shallotspindle_settings.daemon import EntrySettings
+
+MESSAGE_TYPES = (
+    *bundle_messages.MESSAGE_TYPES,
+    limit_records.Acquire,
+    limit_records.Granted,
+    limit_records.Denied,
+    limit_records.NotActing,
+    claim_messages.Claim,
+    claim_messages.Claimed,
+    claim_messages.Present,
+    claim_messages.DifferentBody,
+    claim_messages.Quarantined,
+    claim_messages.NotEntitled,
+    claim_messages.Outcome,
+    claim_messages.Abandon,
+    claim_messages.Replay,
+    claim_messages.Answer,
+    claim_messages.Running,
+    claim_messages.Dropped,
+    claim_messages.Unknown,
+    claims.Done,
+    ownership_messages.Offer,
+    ownership_messages.Ready,
+    ownership_messages.Declined,
+    ownership_messages.HandOver,
+    ownership_messages.Accepted,
+    ownership_messages.Moved,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class BundleLimits:
+    """Limits of the bundle in force; implements ``Limits``."""
+
+    configuration: ConfigurationTask
+
+    def find_limit(self, team: TeamName) -> Limit | None:
+        found = self.configuration.current.bundle.teams.get(team)
+        return None if found is None else Limit(found.rate, found.burst)
+
+
+def create_instance(settings: EntrySettings, listener: socket.socket) -> Instance:
+    """Return the instance that this process is."""
+    host, port = listener.getsockname()[:2]
+    incarnation = settings.incarnation or secrets.token_hex(16)
+    return Instance(
+        Incarnation(incarnation),
+        f"{host}:{port}",
+        FailureDomain(settings.failure_domain),
+    )
+
+
+class Coordination:
+    """The tasks of one instance that talk to other instances and to the store.
+
+    :param listener: listening socket for peers.
+    :param session: HTTP client for the platform; the caller closes it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        listener: socket.socket,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self.own = create_instance(settings, listener)
+        store = EtcdStore(session, settings.store_url)
+        instances = HttpInstanceList(session, settings.instance_list_url)
+        domains = frozenset(map(FailureDomain, settings.failure_domains))
+        self.peers = Peers(
+            self.own,
+            listener,
+            bytes.fromhex(settings.fleet_secret),
+            clock,
+            source,
+            instances,
+            self,
+            MESSAGE_TYPES,
+            domains,
+        )
+        signers = {
+            name: Ed25519PublicKey.from_public_bytes(bytes.fromhex(key))
+            for name, key in settings.signers.items()
+        }
+        self.configuration = ConfigurationTask(
+            store, signers, self.peers, clock, self.own, domains
+        )
+        self.ownership = OwnershipTask(
+            self.own, store, instances, self.peers, clock, source
+        )
+        self.admission = AdmissionTask(
+            self.own,
+            self.peers,
+            self.ownership,
+            self.peers,
+            BundleLimits(self.configuration),
+            clock,
+            source,
+        )
+        self.claims = ClaimsTask(self.own, self.ownership, self.peers, clock, source)
+        self._connect()
+
+    def _connect(self) -> None:
+        self.ownership.subscribe(admission.STATE_NAME, self.admission)
+        self.ownership.subscribe(claims.STATE_NAME, self.claims)
+        self.configuration.subscribe(self._note_bundle)
+        self.peers.add_listener(self._note_ahead)
+
+    def list_tasks(self) -> list:
+        """Return the tasks in the order in which they start."""
+        return [
+            self.peers,
+            self.configuration,
+            self.ownership,
+            self.admission,
+            self.claims,
+        ]
+
+    def find_progress(self) -> Progress:
+        """Return what this instance knows, for its heartbeats."""
+        self.peers.note_store(self.configuration.store_heard)
+        return Progress(
+            bundle_version=self.configuration.version,
+            table_version=self.ownership.table.revision,
+            withdrawals=self.configuration.withdrawal_summary,
+        )
+
+    def _note_ahead(self, peer: Instance, progress: Progress) -> None:
+        self.configuration.tell(
+            PeerDigest(peer, progress.bundle_version, progress.withdrawals)
+        )
+
+    def _note_bundle(self, before: Configuration, after: Configuration) -> None:
+        if before.bundle is after.bundle:
+            return
+        if before.bundle.version == 0:
+            self.admission.note_bundle(None)
+            return
+        changes = differences.compare_teams(before.bundle.teams, after.bundle.teams)
+        self.admission.note_bundle(change.name for change in changes)
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -4,17 +4,20 @@
 import random
 import signal
 import socket
+import ssl
+from pathlib import Path
 from typing import Any
 
 import aiohttp
 import aiomisc
 from absl import logging
 from aiomisc import Service
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
 from shallotspindle_entry import certificates, standalone
 from shallotspindle_entry.administration import Administration
-from shallotspindle_entry.configuration import ConfigurationTask
+from shallotspindle_entry.bundle_messages import WithdrawalGiven
+from shallotspindle_entry.certificates import CertificateReloader
+from shallotspindle_entry.coordination import Coordination
 from shallotspindle_entry.execution import Executor
 from shallotspindle_entry.forwarding import Forwarder
 from shallotspindle_entry.frontend import Frontend
@@ -22,10 +25,12 @@
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import Pipeline
 from shallotspindle_platform.clock import SystemClock
-from shallotspindle_platform.etcd import EtcdStore
+from shallotspindle_settings import withdrawal
 from shallotspindle_settings.daemon import Address, EntrySettings
 from shallotspindle_telemetry.metrics import RequestMetrics
 
+READY_STATUS = 200
+
 
 def bind(address: Address) -> socket.socket:
     """Return a listening socket; port 0 lets the kernel pick a port."""
@@ -43,44 +48,58 @@
         self._metrics = RequestMetrics()
         self._callers = bind(settings.callers)
         self._administration = bind(settings.administration)
-        store = EtcdStore(session, settings.store_url)
-        signers = {
-            name: Ed25519PublicKey.from_public_bytes(bytes.fromhex(key))
-            for name, key in settings.signers.items()
-        }
-        self._configuration = ConfigurationTask(store, signers)
+        self._fleet = Coordination(
+            settings, bind(settings.peers), session, self._clock, self._random
+        )
+        self._configuration = self._fleet.configuration
         self._forwarder = Forwarder()
-        self._services = self._build_services()
+        self._frontend, tls_tasks = self._build_frontend()
+        self._services: list[Service] = [
+            *self._fleet.list_tasks(),
+            self._forwarder,
+            *tls_tasks,
+            self._frontend,
+            self._build_administration(),
+        ]
 
-    def _build_services(self) -> list[Service]:
-        self._frontend = self._build_frontend()
+    def _build_administration(self) -> Administration:
         administration = Administration(self._administration, self._render_metrics)
         administration.add_answer("/ready", self.describe_readiness)
         administration.add_answer("/state", self.describe_state)
-        return [self._configuration, self._forwarder, self._frontend, administration]
+        administration.add_receiver("/withdrawals", self.receive_withdrawal)
+        return administration
 
-    def _build_frontend(self) -> Frontend:
+    def _build_frontend(self) -> tuple[Frontend, list[Service]]:
         balancer = standalone.LocalBalancer(self._configuration, self._random)
         executor = Executor(balancer, self._forwarder, self._clock, self._random)
         pipeline = Pipeline(
             self._configuration,
-            Gate(self._clock, standalone.AlwaysFresh()),
-            standalone.UnlimitedAdmission(),
-            standalone.LocalClaims(),
+            Gate(self._clock, self._fleet.peers),
+            self._fleet.admission,
+            self._fleet.claims,
             executor,
             self._lifecycle,
         )
-        tls = self._settings.tls
-        context = None
-        if tls is not None:
-            context = certificates.build_context(tls.certificate, tls.private_key)
-        return Frontend(
+        context, tasks = self._build_tls()
+        frontend = Frontend(
             pipeline, self._lifecycle, self._metrics, self._callers, context
         )
+        return frontend, tasks
+
+    def _build_tls(self) -> tuple[ssl.SSLContext | None, list[Service]]:
+        tls = self._settings.tls
+        if tls is None:
+            return None, []
+        files = (Path(tls.certificate), Path(tls.private_key))
+        context = certificates.build_context(*files)
+        reloader = CertificateReloader(context, *files, tls.reload_seconds)
+        return context, [reloader]
 
     def _render_metrics(self) -> tuple[bytes, dict[str, str]]:
         version = self._configuration.current.bundle.version
         self._metrics.show_state(version, self._lifecycle.running)
+        traffic = self._fleet.peers.traffic
+        self._metrics.show_traffic(traffic.sent, traffic.received)
         return self._metrics.render()
 
     def describe_readiness(self) -> tuple[int, Any]:
@@ -89,18 +108,38 @@
             return 503, {"ready": False, "reason": "the instance is stopping"}
         if self._configuration.current.bundle.version == 0:
             return 503, {"ready": False, "reason": "no bundle is in force"}
+        if not self._fleet.peers.is_fresh(self._clock.boottime()):
+            return 503, {"ready": False, "reason": "no store and too few peers heard"}
         return 200, {"ready": True}
 
     def describe_state(self) -> tuple[int, Any]:
         """Return what operators see of the instance."""
+        status, _ = self.describe_readiness()
+        own, ownership = self._fleet.own, self._fleet.ownership
         return 200, {
             "instance": self._settings.name,
-            "failure_domain": self._settings.failure_domain,
+            "incarnation": own.incarnation,
+            "address": own.address,
+            "failure_domain": own.domain,
             "bundle": self._configuration.current.bundle.version,
+            "ready": status == READY_STATUS,
             "stage": self._lifecycle.stage.value,
             "running": self._lifecycle.running,
+            "peers": len(self._fleet.peers.list_peers()),
+            "partitions": len(ownership.rights.held),
+            "ownership_phase": ownership.find_phase().value,
         }
 
+    async def receive_withdrawal(self, data: bytes) -> tuple[int, Any]:
+        """Take a signed withdrawal from an operator, with or without the store."""
+        parsed = withdrawal.parse_withdrawal("withdrawal", data)
+        if parsed.is_error():
+            return 422, {"failures": [str(item) for item in parsed.error]}
+        failure = await self._configuration.ask(WithdrawalGiven(parsed.ok))
+        if failure is not None:
+            return 403, {"failures": [str(failure)]}
+        return 200, {"instance": self._settings.name}
+
     async def run(self) -> None:
         """Run until a signal asks for the planned stop, then stop."""
         stopped = asyncio.Event()
@@ -110,9 +149,11 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.add_signal_handler(number, stopped.set)
             logging.info(
-                "listening: callers %d, administration %d",
+                "listening: callers %d, administration %d, peers %s, incarnation %s",
                 self._callers.getsockname()[1],
                 self._administration.getsockname()[1],
+                self._fleet.own.address,
+                self._fleet.own.incarnation,
             )
             await stopped.wait()
             await self._stop()
@@ -125,4 +166,9 @@
         self._lifecycle.stage = Stage.CLOSED
         if not await self._lifecycle.wait_idle(self._settings.stop_limit_seconds):
             logging.warning("%d requests are cut", self._lifecycle.running)
+        lost = await self._fleet.ownership.hand_over_all(
+            self._settings.stop_limit_seconds
+        )
+        if lost:
+            logging.warning("%d partitions have no successor", lost)
         logging.info("the planned stop ends")
--- a/libraries/entry/shallotspindle_entry/edge_test.py
+++ b/libraries/entry/shallotspindle_entry/edge_test.py
@@ -275,7 +275,7 @@
         write_certificate(second, 2)
         context = certificates.build_context(first / "cert", first / "key")
         reloader = certificates.CertificateReloader(
-            context, first / "cert", first / "key"
+            context, first / "cert", first / "key", 10.0
         )
         assert not reloader.reload()
         for name in ("key", "cert"):
--- a/libraries/idempotency/shallotspindle_idempotency/claims_test.py
+++ b/libraries/idempotency/shallotspindle_idempotency/claims_test.py
@@ -10,9 +10,9 @@
     Abandon,
     Answer,
     Claim,
+    Claimed,
     DifferentBody,
     Dropped,
-    Granted,
     Outcome,
     Present,
     Quarantined,
@@ -51,7 +51,7 @@
             if self.now < self.quarantine:
                 assert reply == Quarantined()
                 return
-            assert reply == Granted()
+            assert reply == Claimed()
             self.granted[key] = {
                 "body": body,
                 "runner": runner,
@@ -175,7 +175,7 @@
         book = Ledger()
         first = book.claim(Claim(0, b"k", b"x", 1), RUNNERS[0], 0.0)
         second = book.claim(Claim(0, b"k", b"x", 1), RUNNERS[1], 0.0)
-        assert first == Granted()
+        assert first == Claimed()
         assert second.incarnation == RUNNERS[0].incarnation
 
     def test_repeated_abandon_does_not_free_the_next_grant(self):
--- a/libraries/idempotency/shallotspindle_idempotency/ledger.py
+++ b/libraries/idempotency/shallotspindle_idempotency/ledger.py
@@ -12,10 +12,10 @@
 from shallotspindle_idempotency.messages import (
     Abandon,
     Claim,
+    Claimed,
     ClaimReply,
     ClaimState,
     DifferentBody,
-    Granted,
     LedgerState,
     Outcome,
     Present,
@@ -45,7 +45,7 @@
 
 
 class Ledger:
-    """Granted keys of one partition.
+    """Claimed keys of one partition.
 
     :param quarantined_until: boot-time before which no unknown key is granted, since
         the state of a former holder is lost.
@@ -70,7 +70,7 @@
         self._records[message.key] = Record(
             message.body, asker, message.attempt, False, now + RETENTION_SECONDS
         )
-        return Granted()
+        return Claimed()
 
     def knows(self, key: bytes) -> bool:
         return key in self._records
--- a/libraries/idempotency/shallotspindle_idempotency/messages.py
+++ b/libraries/idempotency/shallotspindle_idempotency/messages.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Granted:
+class Claimed:
     """The asker alone may run the request."""
 
 
@@ -141,5 +141,5 @@
     claims: tuple[ClaimState, ...]
 
 
-ClaimReply = Granted | Present | DifferentBody | Quarantined | NotEntitled
+ClaimReply = Claimed | Present | DifferentBody | Quarantined | NotEntitled
 ReplayReply = Answer | Running | Dropped | Unknown
