--- a/libraries/routing/shallotspindle_routing/limiter.py
+++ b/libraries/routing/shallotspindle_routing/limiter.py
@@ -18,15 +18,18 @@
     :param most: largest limit.
     :param shrink: factor after a shed answer.
     :param grow: added for each whole answer, divided by the limit.
-    :param busy: reported load (per slot) above which the limit does not grow.
+    :param busy: reported load (per slot) above which the limit shrinks, so that
+        requests wait in the fair queues of instances and not in upstreams.
+    :param ease: factor after an answer with a higher load.
     :param quiet: shortest time between two reductions, in seconds.
     """
 
     start: float = 4.0
     most: float = 64.0
-    shrink: float = 0.7
-    grow: float = 0.5
-    busy: float = 1.5
+    shrink: float = 0.9
+    grow: float = 0.2
+    busy: float = 2.0
+    ease: float = 0.97
     quiet: float = 0.1
 
 
@@ -60,17 +63,22 @@
         """
         self._mean_seconds += 0.1 * (seconds - self._mean_seconds)
         used = in_flight + 1 >= self.limit * 0.5
-        if used and load < self._settings.busy:
+        if load > self._settings.busy:
+            self._reduce(self._settings.ease, now)
+        elif used:
             step = self._settings.grow / max(1.0, self.limit)
             self.limit = min(self._settings.most, self.limit + step)
         self._pause(now)
 
     def observe_shed(self, now: float) -> None:
         """Count a shed answer."""
+        self._reduce(self._settings.shrink, now)
+        self._pause(now)
+
+    def _reduce(self, factor: float, now: float) -> None:
         if now - self._reduced_at >= self._settings.quiet:
             self._reduced_at = now
-            self.limit = max(LEAST_LIMIT, self.limit * self._settings.shrink)
-        self._pause(now)
+            self.limit = max(LEAST_LIMIT, self.limit * factor)
 
     def _pause(self, now: float) -> None:
         if self.limit < 1.0:
