--- a/libraries/entry/shallotspindle_entry/admission.py
+++ b/libraries/entry/shallotspindle_entry/admission.py
@@ -10,6 +10,7 @@
 
 from absl import logging
 
+from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import Incarnation, Instance, TeamName
 from shallotspindle_core.randomness import RandomSource
@@ -25,11 +26,12 @@
 )
 from shallotspindle_entry.tasks import Task
 from shallotspindle_limits import shares
-from shallotspindle_limits.ledgers import Ledger, Limits
+from shallotspindle_limits.ledgers import Ledger, Limits, NoLimits
 from shallotspindle_limits.records import (
     Acquire,
     Denied,
     Granted,
+    Limit,
     NotActing,
     PartitionState,
 )
@@ -103,14 +105,37 @@
 class LimitsChanged:
     """A bundle came into force; ``teams`` is None for all teams."""
 
+    limits: Limits
     teams: frozenset[TeamName] | None
 
 
+@dataclass(frozen=True, slots=True)
+class BundleLimits:
+    """Limits of the teams of a bundle."""
+
+    bundle: Bundle
+
+    def find_limit(self, team: TeamName) -> Limit | None:
+        found = self.bundle.teams.get(team)
+        return None if found is None else Limit(found.rate, found.burst)
+
+
+def find_changed_teams(before: Bundle, after: Bundle) -> frozenset[TeamName]:
+    """Return the teams whose limits differ between two bundles.
+
+    The walk over 37,000 teams takes milliseconds; it may run outside the event loop.
+    """
+    old, new = BundleLimits(before), BundleLimits(after)
+    names = before.teams.keys() | after.teams.keys()
+    return frozenset(
+        name for name in names if old.find_limit(name) != new.find_limit(name)
+    )
+
+
 class AdmissionTask(Task):
     """Rates and bursts of teams; implements ``Admission``.
 
     :param own: this instance.
-    :param limits: limits of the bundle in force.
     """
 
     def __init__(
@@ -119,7 +144,6 @@
         link: PeerLink,
         rights: Rights,
         freshness: Freshness,
-        limits: Limits,
         clock: Clock,
         random: RandomSource,
         **kwargs: Any,
@@ -129,10 +153,10 @@
         self._link = link
         self._rights = rights
         self._freshness = freshness
-        self._limits = limits
+        self._limits: Limits = NoLimits()
         self._clock = clock
         self._random = random
-        self._ledger = Ledger(limits)
+        self._ledger = Ledger()
         self._wallet = Wallet()
         self._silent: dict[Incarnation, float] = {}
         self._actions = {
@@ -151,14 +175,15 @@
     async def handle(self, message: Any) -> Any:
         return self._actions[type(message)](message)
 
-    def note_bundle(self, changed: Iterable[TeamName] | None) -> None:
+    def note_bundle(self, limits: Limits, changed: Iterable[TeamName] | None) -> None:
         """Report that a bundle came into force.
 
+        :param limits: limits of the bundle.
         :param changed: teams whose limits differ from the bundle before; None for the
             first bundle of this instance.
         """
         teams = None if changed is None else frozenset(changed)
-        self.tell(LimitsChanged(teams))
+        self.tell(LimitsChanged(limits, teams))
 
     async def acquire(self, team: TeamName, deadline: float) -> Answer:
         plan = await self.ask(Begin(team))
@@ -280,7 +305,9 @@
         return LimitUnavailable("admission", text, team)
 
     def _learn(self, message: LimitsChanged) -> None:
-        self._ledger.learn(message.teams, self._clock.boottime())
+        self._limits = message.limits
+        now = self._clock.boottime()
+        self._ledger.learn(message.limits, message.teams, now)
 
     def _gain(self, message: PartitionGained) -> None:
         state = None if message.taken_over else self._decode(message)
--- a/libraries/entry/shallotspindle_entry/admission_test.py
+++ b/libraries/entry/shallotspindle_entry/admission_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from shallotspindle_bundles.records import Bundle, Team
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import (
     FailureDomain,
@@ -12,7 +13,7 @@
     Instance,
     TeamName,
 )
-from shallotspindle_entry.admission import STATE_NAME, AdmissionTask
+from shallotspindle_entry.admission import STATE_NAME, AdmissionTask, BundleLimits
 from shallotspindle_entry.interfaces import (
     Admitted,
     LimitExceeded,
@@ -63,10 +64,10 @@
 
 
 class Place:
-    """Rights, freshness and limits of one instance."""
+    """Rights and freshness of one instance."""
 
-    def __init__(self, network: Network, own: Instance, limit: Limit) -> None:
-        self.network, self.own, self.limit = network, own, limit
+    def __init__(self, network: Network, own: Instance) -> None:
+        self.network, self.own = network, own
         self.lapsed = False
         self.fresh = True
 
@@ -79,25 +80,27 @@
     def is_fresh(self, now: float) -> bool:
         return self.fresh
 
-    def find_limit(self, team: TeamName) -> Limit | None:
-        return self.limit if team == TEAM else None
-
 
 class Fleet:
-    def __init__(self, count: int, limit: Limit) -> None:
+    def __init__(self, count: int) -> None:
         self.network = Network()
         self.clock = self.network.clock
         self.instances = [
             Instance(Incarnation(f"i{n}"), f"a{n}", FailureDomain("d"))
             for n in range(count)
         ]
-        self.places = [Place(self.network, own, limit) for own in self.instances]
+        self.places = [Place(self.network, own) for own in self.instances]
         self.tasks = [self.make_task(place) for place in self.places]
 
     def make_task(self, place: Place) -> AdmissionTask:
         link = Link(self.network, place.own)
         source = random.Random(1)
-        return AdmissionTask(place.own, link, place, place, place, self.clock, source)
+        return AdmissionTask(place.own, link, place, place, self.clock, source)
+
+    def set_limit(self, limit: Limit, changed) -> None:
+        bundle = Bundle(1, b"", {TEAM: Team(TEAM, limit.rate, limit.burst)})
+        for task in self.tasks:
+            task.note_bundle(BundleLimits(bundle), changed)
 
     async def give(self, number: int, partitions, epoch=1, taken_over=True, states=()):
         for partition in partitions:
@@ -115,12 +118,13 @@
 
 @asynccontextmanager
 async def run_fleet(count: int, limit: Limit):
-    fleet = Fleet(count, limit)
+    fleet = Fleet(count)
     loop = asyncio.get_running_loop()
     for task in fleet.tasks:
         task.set_loop(loop)
     runs = [asyncio.create_task(task.start()) for task in fleet.tasks]
     await asyncio.gather(*[task.start_event.wait() for task in fleet.tasks])
+    fleet.set_limit(limit, None)
     try:
         yield fleet
     finally:
@@ -196,7 +200,6 @@
         async with run_fleet(3, Limit(0.01, 40)) as fleet:
             await fleet.give(0, ALL_PARTITIONS)
             fleet.clock.advance(50)
-            fleet.places[0].limit = fleet.places[1].limit = Limit(0.01, 40)
             first = await fleet.count(2, 20)
             partitions = sorted(
                 {shares.find_share_partition(TEAM, i) for i in range(4)}
@@ -218,8 +221,7 @@
             await fleet.give(0, ALL_PARTITIONS)
             fleet.clock.advance(50)
             assert await fleet.count(0, 9) == 2
-            fleet.places[0].limit = Limit(1, 40)
-            fleet.tasks[0].note_bundle([TEAM])
+            fleet.set_limit(Limit(1, 40), [TEAM])
             fleet.clock.advance(4)
             assert await fleet.count(0, 40) <= 2
             fleet.clock.advance(60)
--- a/libraries/limits/shallotspindle_limits/buckets.py
+++ b/libraries/limits/shallotspindle_limits/buckets.py
@@ -62,13 +62,13 @@
         self.tokens = min(max(depth, 0.0), self.tokens + added)
         self.at = now
 
-    def change(self, limit: Limit, index: int, learnt_at: float, now: float) -> None:
+    def change(self, limit: Limit, index: int, now: float) -> None:
         """Apply a new limit of the team.
 
         What gets smaller does so at once; what gets larger waits until no instance
         acts on the older limit any more.
 
-        :param learnt_at: when the holder learnt the limit, in seconds.
+        :param now: when the holder learnt the limit, in seconds.
         """
         self.refill(now)
         self.limit = limit
@@ -77,7 +77,7 @@
         burst = min(self.share.burst, target.burst)
         self.share = shares.make_share(rate, burst)
         is_larger = target.rate > rate or target.burst > burst
-        self.pending = (target, learnt_at + CHANGE_SECONDS) if is_larger else None
+        self.pending = (target, now + CHANGE_SECONDS) if is_larger else None
         self.refill(now)
 
     def take(self, demand: float, prepays: bool, now: float) -> Granted | Denied:
--- a/libraries/limits/shallotspindle_limits/ledgers.py
+++ b/libraries/limits/shallotspindle_limits/ledgers.py
@@ -1,10 +1,11 @@
 """Shares that this instance holds.
 
 Buckets are made at the first request of a team, so that neither a new bundle nor a
-gained partition costs a walk over all teams.
+gained partition costs a walk over all teams. Buckets that exist get every new limit at
+once: one that skipped a smaller limit would take the next larger one without a delay.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -23,23 +24,17 @@
 # How long changes of teams are remembered; an unused bucket fills for less than this.
 REMEMBERED_SECONDS = 60.0
 FILL_SECONDS = REMEMBERED_SECONDS - CHANGE_SECONDS
+# Limit of a team that the bundle does not have.
+NO_LIMIT = Limit(0.0, 0.0)
 
 
 class Limits(Protocol):
-    """Limits of the bundle in force."""
+    """Limits of one bundle; they do not change."""
 
     def find_limit(self, team: TeamName) -> Limit | None:
         """Return the limit of a team; None if there is no such team."""
 
 
-def find_changes(
-    before: Mapping[TeamName, Limit], after: Mapping[TeamName, Limit]
-) -> frozenset[TeamName]:
-    """Return the teams whose limits differ between two bundles."""
-    names = before.keys() | after.keys()
-    return frozenset(name for name in names if before.get(name) != after.get(name))
-
-
 @dataclass(slots=True)
 class Holding:
     """A partition that this instance acts for.
@@ -52,21 +47,28 @@
     buckets: dict[tuple[TeamName, int], Bucket] = field(default_factory=dict)
 
 
-class Ledger:
-    """Buckets of the held shares. The caller checks the right to act.
+class NoLimits:
+    """Limits before the first bundle."""
 
-    :param limits: limits of the bundle in force.
-    """
+    def find_limit(self, team: TeamName) -> Limit | None:
+        return None
 
-    def __init__(self, limits: Limits) -> None:
-        self._limits = limits
+
+class Ledger:
+    """Buckets of the held shares. The caller checks the right to act."""
+
+    def __init__(self) -> None:
+        self._limits: Limits = NoLimits()
         self._holdings: dict[int, Holding] = {}
         self._changed: dict[TeamName, float] = {}
         self._all_changed = float("-inf")
 
-    def learn(self, changed: Iterable[TeamName] | None, now: float) -> None:
+    def learn(
+        self, limits: Limits, changed: Iterable[TeamName] | None, now: float
+    ) -> None:
         """Note that a bundle came into force.
 
+        :param limits: limits of the bundle.
         :param changed: teams with another limit than before; None for all teams, as
             with the first bundle of an instance.
         """
@@ -79,6 +81,16 @@
             self._all_changed = now
         else:
             self._changed.update(dict.fromkeys(changed, now))
+        self._limits = limits
+        for holding in self._holdings.values():
+            for (team, index), bucket in holding.buckets.items():
+                self._adapt(bucket, index, limits.find_limit(team), now)
+
+    @staticmethod
+    def _adapt(bucket: Bucket, index: int, limit: Limit | None, now: float) -> None:
+        found = limit or NO_LIMIT
+        if bucket.limit != found:
+            bucket.change(found, index, now)
 
     def gain(
         self, partition: int, epoch: int, state: PartitionState | None, now: float
@@ -98,13 +110,13 @@
             key = (item.team, item.index)
             holding.buckets[key] = self._restore(item, now)
 
-    @staticmethod
-    def _restore(item: ShareState, now: float) -> Bucket:
+    def _restore(self, item: ShareState, now: float) -> Bucket:
         share = shares.make_share(item.rate, item.burst)
-        # No limit is equal to this one, so the first request compares with the bundle.
-        bucket = Bucket(Limit(-1.0, -1.0), share, item.tokens, now)
+        bucket = Bucket(NO_LIMIT, share, item.tokens, now)
         if item.outstanding:
             bucket.grants.append((now + GRANT_SECONDS, item.outstanding))
+        limit = self._limits.find_limit(item.team) or NO_LIMIT
+        bucket.change(limit, item.index, now)
         return bucket
 
     def lose(self, partition: int, now: float) -> PartitionState:
@@ -142,24 +154,11 @@
             return NotActing()
         if index not in range(shares.count_shares(limit)):
             return NotActing()
-        bucket = self._find_bucket(holding, team, index, limit, now)
-        return bucket.take(demand, prepays, now)
-
-    def _find_bucket(
-        self, holding: Holding, team: TeamName, index: int, limit: Limit, now: float
-    ) -> Bucket:
         bucket = holding.buckets.get((team, index))
         if bucket is None:
             bucket = self._create(holding, team, index, limit, now)
             holding.buckets[team, index] = bucket
-        elif bucket.limit != limit:
-            learnt_at = self._find_learnt(team, now)
-            bucket.change(limit, index, learnt_at, now)
-        return bucket
-
-    def _find_learnt(self, team: TeamName, now: float) -> float:
-        # A change that nobody reported counts from now on.
-        return max(self._changed.get(team, now), self._all_changed)
+        return bucket.take(demand, prepays, now)
 
     def _create(
         self, holding: Holding, team: TeamName, index: int, limit: Limit, now: float
--- a/libraries/limits/shallotspindle_limits/ledgers_test.py
+++ b/libraries/limits/shallotspindle_limits/ledgers_test.py
@@ -9,7 +9,7 @@
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_limits import shares
 from shallotspindle_limits.buckets import CHANGE_SECONDS, GRANT_SECONDS
-from shallotspindle_limits.ledgers import Ledger, find_changes
+from shallotspindle_limits.ledgers import Ledger
 from shallotspindle_limits.records import Denied, Granted, Limit, NotActing
 from shallotspindle_limits.wallets import Wallet
 
@@ -18,7 +18,7 @@
 INSTANCES = (0, 1, 2)
 PARTITIONS = sorted({shares.find_share_partition(TEAM, i) for i in range(4)})
 LIMITS = [Limit(1, 1), Limit(2, 3), Limit(20, 9), Limit(5, 64), Limit(400, 160)]
-PAUSES = (0.0, 0.05, 0.2, 0.9, 1.0, 4.0, 20.0)
+PAUSES = (0.05, 0.4, 0.9, 1.0, 2.0, 6.0, 20.0)
 
 
 class Source:
@@ -82,7 +82,9 @@
         self.now = 100.0
         self.random = Source()
         self.tables = {n: Table(LIMITS[4]) for n in INSTANCES}
-        self.ledgers = {n: Ledger(self.tables[n]) for n in INSTANCES}
+        self.ledgers = {n: Ledger() for n in INSTANCES}
+        for number, ledger in self.ledgers.items():
+            ledger.learn(self.tables[number], None, self.now - 60)
         self.wallets = {n: Wallet() for n in INSTANCES}
         self.holders: dict[int, int | None] = dict.fromkeys(PARTITIONS, 0)
         self.epochs = dict.fromkeys(PARTITIONS, 1)
@@ -95,11 +97,16 @@
         for partition in PARTITIONS:
             self.ledgers[0].gain(partition, 1, None, self.now - 50)
 
-    @rule(seconds=st.sampled_from(PAUSES) | st.floats(0.0, 4.0))
-    def advance(self, seconds: float) -> None:
+    @rule(
+        seconds=st.sampled_from(PAUSES) | st.floats(0.0, 4.0),
+        numbers=st.lists(st.sampled_from(INSTANCES), max_size=3),
+    )
+    def advance(self, seconds: float, numbers: list[int]) -> None:
         if self.now + seconds >= self.changed_at + CHANGE_SECONDS - 1:
             self.learn_all()
         self.now += seconds
+        for number in numbers:
+            self.flood(number)
 
     def learn_all(self) -> None:
         for number in INSTANCES:
@@ -110,9 +117,8 @@
         if self.tables[number].limit == self.limit:
             return
         before = self.tables[number].limit
-        self.tables[number].limit = self.limit
-        changes = find_changes({TEAM: before}, {TEAM: self.limit})
-        self.ledgers[number].learn(changes, self.now)
+        self.tables[number] = Table(self.limit)
+        self.ledgers[number].learn(self.tables[number], {TEAM}, self.now)
         if all(table.limit == self.limit for table in self.tables.values()):
             rate = min(before.rate, self.limit.rate)
             burst = min(before.burst, self.limit.burst)
@@ -141,15 +147,20 @@
         plan = wallet.plan(TEAM, total, lambda i: 0, self.random, self.now)
         self.waiting += [(number, index, self.now) for index in plan[:1]]
 
-    @rule(number=st.sampled_from(INSTANCES))
     def flood(self, number: int) -> None:
+        asked = None
         for _ in range(400):
+            if asked == []:
+                return
             self.waiting, kept = [], self.waiting
+            before = len(self.naive.admissions)
             self.request_once(number)
             asked, self.waiting = self.waiting, kept
             for item in asked:
                 self.answer_one(*item, False)
             self.deliver()
+            if len(self.naive.admissions) > before:
+                asked = None
 
     @rule(data=st.data(), lost=st.booleans())
     def answer(self, data, lost: bool) -> None:
@@ -219,7 +230,8 @@
 
 def make_ledger(limit: Limit, now: float = 100.0) -> tuple[Ledger, Table]:
     table = Table(limit)
-    ledger = Ledger(table)
+    ledger = Ledger()
+    ledger.learn(table, None, now - 10)
     for partition in PARTITIONS:
         ledger.gain(partition, 1, None, now)
     return ledger, table
@@ -243,7 +255,8 @@
     def test_handed_over_state_goes_on(self):
         ledger, table = make_ledger(Limit(4, 40))
         assert drain(ledger, 0, 130.0, 3) == 3
-        successor = Ledger(table)
+        successor = Ledger()
+        successor.learn(table, None, 100.0)
         partition = shares.find_share_partition(TEAM, 0)
         successor.gain(partition, 2, ledger.lose(partition, 130.0), 130.0)
         assert isinstance(ledger.take(TEAM, 0, 0, False, 130.0), NotActing)
@@ -256,23 +269,30 @@
         assert drain(ledger, 0, 150.0) == 0
 
     def test_smaller_limit_applies_at_once(self):
-        ledger, table = make_ledger(Limit(4, 64))
+        ledger, _ = make_ledger(Limit(4, 64))
         drain(ledger, 0, 150.0, 1)
-        table.limit = Limit(4, 8)
-        ledger.learn({TEAM}, 150.0)
+        ledger.learn(Table(Limit(4, 8)), {TEAM}, 150.0)
         assert drain(ledger, 0, 150.0) == 2
 
     def test_larger_limit_waits_for_stale_instances(self):
-        ledger, table = make_ledger(Limit(4, 8))
+        ledger, _ = make_ledger(Limit(4, 8))
         assert drain(ledger, 0, 150.0) == 2
-        table.limit = Limit(400, 8)
-        ledger.learn({TEAM}, 150.0)
+        ledger.learn(Table(Limit(400, 8)), {TEAM}, 150.0)
         assert drain(ledger, 0, 154.0) == 2
+        assert drain(ledger, 0, 154.5) == 0
         assert drain(ledger, 0, 155.0 + 0.02) == 2
 
+    def test_smaller_limit_counts_that_no_request_saw(self):
+        # Guards against a raise without delay of a bucket that was idle meanwhile.
+        ledger, _ = make_ledger(Limit(4, 64))
+        drain(ledger, 0, 150.0, 1)
+        ledger.learn(Table(Limit(1, 1)), {TEAM}, 150.0)
+        ledger.learn(Table(Limit(2, 3)), {TEAM}, 160.0)
+        assert drain(ledger, 0, 160.1) == 1
+
     def test_unused_share_of_a_changed_team_starts_empty(self):
-        ledger, _ = make_ledger(Limit(4, 8))
-        ledger.learn({TEAM}, 200.0)
+        ledger, table = make_ledger(Limit(4, 8))
+        ledger.learn(table, {TEAM}, 200.0)
         assert drain(ledger, 1, 200.0 + CHANGE_SECONDS) == 0
         assert drain(ledger, 1, 202.0 + CHANGE_SECONDS) == 2
 
@@ -308,12 +328,19 @@
         assert wallet.begin(TEAM, 10.9)
         assert not wallet.begin(TEAM, 10.0 + GRANT_SECONDS)
 
-    def test_lost_answer_keeps_the_tokens_reserved(self):
-        ledger, _ = make_ledger(Limit(0.001, 400))
-        ledger.gain(PARTITIONS[0], 2, None, 0.0)
-        holder, _ = make_ledger(Limit(400, 400), 0.0)
-        taken = holder.take(TEAM, 0, 1e9, True, 50.0).prepaid + 1
-        assert taken + drain(holder, 0, 50.0) <= 100
+    def test_outstanding_grants_count_in_the_burst(self):
+        # Guards against a full bucket beside prepaid tokens that are still in use,
+        # also when their answer was lost or the share was handed over.
+        ledger, table = make_ledger(Limit(400, 160))
+        first = ledger.take(TEAM, 0, 1e9, True, 150.0).prepaid
+        assert first == 9
+        partition = shares.find_share_partition(TEAM, 0)
+        successor = Ledger()
+        successor.learn(table, None, 100.0)
+        successor.gain(partition, 2, ledger.lose(partition, 150.5), 150.5)
+        second = successor.take(TEAM, 0, 1e9, True, 150.9).prepaid
+        assert second <= 1
+        assert first + second + 1 + drain(successor, 0, 150.9) <= 40
 
 
 class TestWallet:
