--- a/libraries/platform/shallotspindle_platform/etcd.py
+++ b/libraries/platform/shallotspindle_platform/etcd.py
@@ -6,8 +6,8 @@
 
 import base64
 import json
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import Any, TypeVar
 
 import aiohttp
 from expression import Error, Ok, Result
@@ -17,10 +17,20 @@
     Conflict,
     Entry,
     OutcomeUnknown,
+    StoreBusy,
     StoreFailure,
 )
 
 CALL_TIMEOUT_SECONDS = 2.0
+# A watch whose connection is cut in one direction ends after this time without a
+# change; whoever holds it opens a new one.
+WATCH_SILENCE_SECONDS = 60.0
+WATCH_LINE_BYTES_MAX = 4_000_000
+STATUS_DONE = 200
+STATUS_BUSY = 429
+STATUS_SERVER_FAILURE = 500
+Value = TypeVar("Value")
+
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -43,6 +53,44 @@
     return data[:-1] + bytes([data[-1] + 1])
 
 
+def build_refusal(source: str, status: int) -> StoreFailure:
+    """Return the failure of a status.
+
+    The gateway answers 5xx also when it gave up waiting for a write that may still
+    take effect.
+    """
+    if status == STATUS_BUSY:
+        return StoreBusy(source, "the store is over its rate", str(status))
+    if status >= STATUS_SERVER_FAILURE:
+        return OutcomeUnknown(source, "the store failed", str(status))
+    return StoreFailure(source, "the call was refused", str(status))
+
+
+def read(
+    source: str,
+    answer: Result[dict[str, Any], StoreFailure],
+    convert: Callable[[dict[str, Any]], Value],
+) -> Result[Value, StoreFailure]:
+    """Convert an answer; one of another form is a failure."""
+    if answer.is_error():
+        return Error(answer.error)
+    try:
+        return Ok(convert(answer.ok))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Error(OutcomeUnknown(source, "the answer is malformed", repr(error)))
+
+
+async def read_lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Yield the lines of a stream; unlike the reader's own, they may be long."""
+    rest = b""
+    async for data in content.iter_any():
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            yield line
+        if len(rest) > WATCH_LINE_BYTES_MAX:
+            return
+
+
 class EtcdStore:
     """Store behind an etcd v3 JSON gateway.
 
@@ -63,9 +111,8 @@
             async with self._session.post(
                 f"{self._url}{path}", json=body, timeout=self._timeout
             ) as response:
-                if response.status != 200:
-                    status = str(response.status)
-                    return Error(StoreFailure(source, "the call was refused", status))
+                if response.status != STATUS_DONE:
+                    return Error(build_refusal(source, response.status))
                 return Ok(await response.json(content_type=None))
         except CONNECT_FAILURES as error:
             return Error(StoreFailure(source, "no connection", str(error)))
@@ -75,7 +122,7 @@
 
     async def get(self, key: str) -> Result[Entry, StoreFailure]:
         answer = await self._call("/v3/kv/range", {"key": encode_text(key.encode())})
-        return answer.map(lambda found: self._take_first(key, found))
+        return read(f"store {key}", answer, lambda found: self._take_first(key, found))
 
     @staticmethod
     def _take_first(key: str, answer: dict[str, Any]) -> Entry:
@@ -88,7 +135,11 @@
             "range_end": encode_text(find_range_end(prefix)),
         }
         answer = await self._call("/v3/kv/range", body)
-        return answer.map(lambda found: tuple(map(decode_entry, found.get("kvs", []))))
+        return read(
+            f"store {prefix}",
+            answer,
+            lambda found: tuple(map(decode_entry, found.get("kvs", []))),
+        )
 
     async def replace(
         self, key: str, data: bytes, revision: int, lease: int = 0
@@ -97,31 +148,46 @@
             return Error(StoreFailure(f"store {key}", "the value is too large"))
         name = encode_text(key.encode())
         put = {"key": name, "value": encode_text(data), "lease": str(lease)}
-        body = {
-            "compare": [
-                {
-                    "key": name,
-                    "target": "MOD",
-                    "result": "EQUAL",
-                    "mod_revision": str(revision),
-                }
-            ],
-            "success": [{"requestPut": put}],
+        return await self._write(key, revision, {"requestPut": put})
+
+    async def remove(self, key: str, revision: int) -> Result[None, StoreFailure]:
+        delete = {"key": encode_text(key.encode())}
+        written = await self._write(key, revision, {"requestDeleteRange": delete})
+        return written.map(lambda _: None)
+
+    async def _write(
+        self, key: str, revision: int, operation: dict[str, Any]
+    ) -> Result[int, StoreFailure]:
+        """Carry out an operation if the key has the revision."""
+        compare = {
+            "key": encode_text(key.encode()),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(revision),
         }
+        body = {"compare": [compare], "success": [operation]}
         answer = await self._call("/v3/kv/txn", body)
-        if answer.is_error():
-            return Error(answer.error)
-        if not answer.ok.get("succeeded"):
+        written = read(
+            f"store {key}",
+            answer,
+            lambda found: (bool(found.get("succeeded")), found["header"]["revision"]),
+        )
+        if written.is_error():
+            return Error(written.error)
+        succeeded, reached = written.ok
+        if not succeeded:
             return Error(Conflict(f"store {key}", "the value was changed"))
-        return Ok(int(answer.ok["header"]["revision"]))
+        return Ok(int(reached))
 
     async def grant_lease(self, seconds: int) -> Result[int, StoreFailure]:
         answer = await self._call("/v3/lease/grant", {"TTL": str(seconds)})
-        return answer.map(lambda found: int(found["ID"]))
+        return read("store lease", answer, lambda found: int(found["ID"]))
 
     async def renew_lease(self, lease: int) -> Result[int, StoreFailure]:
         answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        return answer.map(lambda found: int(found["result"].get("TTL", 0)))
+        return read(
+            "store lease", answer, lambda found: int(found["result"].get("TTL", 0))
+        )
 
     async def watch(self, key: str, revision: int) -> AsyncIterator[Entry]:
         body = {
@@ -130,14 +196,22 @@
                 "start_revision": str(revision),
             }
         }
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_SECONDS)
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CALL_TIMEOUT_SECONDS,
+            sock_read=WATCH_SILENCE_SECONDS,
+        )
         try:
             async with self._session.post(
                 f"{self._url}/v3/watch", json=body, timeout=timeout
             ) as response:
-                async for line in response.content:
+                if response.status != STATUS_DONE:
+                    return
+                async for line in read_lines(response.content):
                     result = json.loads(line).get("result", {})
                     for event in result.get("events", []):
                         yield decode_entry(event["kv"])
-        except (TimeoutError, aiohttp.ClientError, json.JSONDecodeError):
+                    if result.get("canceled"):
+                        return
+        except (TimeoutError, aiohttp.ClientError, ValueError, KeyError):
             return
--- a/libraries/platform/shallotspindle_platform/interface.py
+++ b/libraries/platform/shallotspindle_platform/interface.py
@@ -25,6 +25,11 @@
     """The answer to a write was lost; it may have taken effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreBusy(StoreFailure):
+    """The store refused a call because it is over its rate; nothing was changed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Conflict(StoreFailure):
     """The value was changed by somebody else."""
@@ -67,10 +72,14 @@
         """Create a lease and return its number."""
 
     async def renew_lease(self, lease: int) -> Result[int, StoreFailure]:
-        """Renew a lease and return its remaining time in seconds."""
+        """Renew a lease and return its time in seconds; 0 when it has lapsed."""
 
     def watch(self, key: str, revision: int) -> AsyncIterator[Entry]:
-        """Yield each change of a key from a revision on, until the call fails."""
+        """Yield the changes of a key from a revision on, until the call fails.
+
+        Changes that come close together may be yielded as one. A removed value is
+        yielded without data.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/standins/shallotspindle_standins/main.py
+++ b/libraries/standins/shallotspindle_standins/main.py
@@ -29,7 +29,7 @@
     """Start the stand-ins and return their ports by name."""
     ports = {
         "store": await listen(StoreStandin(SystemClock()).build_application()),
-        "list": await listen(ListStandin().build_application()),
+        "list": await listen(ListStandin(SystemClock()).build_application()),
     }
     for name in upstreams:
         ports[name] = await listen(UpstreamStandin(name).build_application())
