Remove the chunks of old versions from the store

Change: a delta names the chunks that its parent had and its version has not. When its slot is overwritten 256 versions later, the publisher removes those that the bundle does not have again.

Conclusion: the store holds the accepted bundle and the last 256 changes.

--- a/libraries/bundles/shallotspindle_bundles/deltas.py
+++ b/libraries/bundles/shallotspindle_bundles/deltas.py
@@ -19,11 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Delta:
-    """The changes that lead from version ``parent`` to ``version``."""
+    """The changes that lead from version ``parent`` to ``version``.
+
+    :param dropped: digests of the chunks that the parent has and the version has not;
+        they are removed from the store when the delta itself is overwritten.
+    """
 
     version: int
     parent: int
     changes: tuple[Change, ...]
+    dropped: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/operations/shallotspindle_operations/publishing.py
+++ b/libraries/operations/shallotspindle_operations/publishing.py
@@ -52,12 +52,14 @@
 
     :param chunks: chunks that the accepted bundle does not have, by digest.
     :param delta: stored delta from the accepted bundle.
+    :param kept: digests of all chunks of the bundle and of its index.
     """
 
     manifest: Manifest
     chunks: tuple[tuple[str, bytes], ...]
     delta: bytes
     changes: tuple[Change, ...]
+    kept: frozenset[str]
 
 
 async def read_accepted(store: Store) -> Result[Accepted, Failure]:
@@ -142,14 +144,8 @@
         )
     content = encode(accepted, bundle)
     unsigned = Manifest(bundle.version, parent, signer, attempt, (content.name,))
-    return Ok(
-        Proposal(
-            manifests.sign(unsigned, key),
-            content.chunks,
-            content.delta,
-            content.changes,
-        )
-    )
+    signed = manifests.sign(unsigned, key)
+    return Ok(build_proposal(signed, content))
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +156,14 @@
     chunks: tuple[tuple[str, bytes], ...]
     delta: bytes
     changes: tuple[Change, ...]
+    kept: frozenset[str]
+
+
+def build_proposal(signed: Manifest, content: Content) -> Proposal:
+    """Join a signed manifest with the stored form of its bundle."""
+    return Proposal(
+        signed, content.chunks, content.delta, content.changes, content.kept
+    )
 
 
 def encode(accepted: Accepted, bundle: Bundle) -> Content:
@@ -172,9 +176,23 @@
         index, encoded = chunks.build_index(bundle, accepted.index, touched)
     data = chunks.encode_index(index)
     name = manifests.digest_chunk(data)
-    delta = Delta(bundle.version, accepted.bundle.version, changes)
+    kept = frozenset({name, *index.values()})
+    dropped = find_dropped(accepted, kept)
+    delta = Delta(bundle.version, accepted.bundle.version, changes, dropped)
     written = (*encoded.items(), (name, data))
-    return Content(name, written, delta_forms.encode_delta(delta), changes)
+    return Content(name, written, delta_forms.encode_delta(delta), changes, kept)
+
+
+def list_names(accepted: Accepted) -> set[str]:
+    """Return the digests of all chunks of a bundle and of its index."""
+    if accepted.index is None or accepted.manifest is None:
+        return set()
+    return {*accepted.index.values(), *accepted.manifest.chunks} - {""}
+
+
+def find_dropped(accepted: Accepted, kept: frozenset[str]) -> tuple[str, ...]:
+    """Return the digests of chunks that the next bundle does not have."""
+    return tuple(sorted(list_names(accepted) - kept))
 
 
 def propose_signed(
@@ -189,7 +207,7 @@
     content = encode(accepted, bundle)
     if (signed.version, signed.chunks) != (bundle.version, (content.name,)):
         return Error(InvalidManifest(source, "the manifest is of another bundle"))
-    return Ok(Proposal(signed, content.chunks, content.delta, content.changes))
+    return Ok(build_proposal(signed, content))
 
 
 async def write_chunk(store: Store, chunk: bytes) -> Failure | None:
@@ -203,18 +221,38 @@
     return written.error
 
 
-async def write_delta(store: Store, proposal: Proposal) -> None:
+async def write_delta(store: Store, proposal: Proposal) -> bytes:
     """Store the delta in its slot; without it instances read the changed chunks.
 
     It is written before acceptance, because instances ask for it within milliseconds
     after it, and again afterwards if the loser of a race overwrote it. A failure is
     not reported.
+
+    :returns: the stored delta that was overwritten; empty for none.
     """
     slot = deltas.find_slot(proposal.manifest.version)
     key = f"{delta_forms.DELTA_PREFIX}{slot}"
     current = await store.get(key)
-    if current.is_ok() and current.ok.data != proposal.delta:
-        await store.replace(key, proposal.delta, current.ok.revision)
+    if current.is_error() or current.ok.data == proposal.delta:
+        return b""
+    await store.replace(key, proposal.delta, current.ok.revision)
+    return current.ok.data
+
+
+async def remove_dropped(store: Store, overwritten: bytes, proposal: Proposal) -> None:
+    """Remove the chunks that only bundles of hundreds of versions ago had.
+
+    1,900 changes a day would otherwise leave about 200 MB a day. A failure leaves some
+    chunks behind and is not reported.
+    """
+    delta = delta_forms.decode_delta(overwritten)
+    if delta.is_error() or delta.ok.version >= proposal.manifest.version:
+        return
+    for digest in set(delta.ok.dropped) - proposal.kept:
+        key = manifest.CHUNK_PREFIX + digest
+        entry = await store.get(key)
+        if entry.is_ok() and entry.ok.revision:
+            await store.remove(key, entry.ok.revision)
 
 
 async def publish(
@@ -232,7 +270,7 @@
             return Error(Failure(failure.source, "a chunk was not written"))
         if failure is not None:
             return Error(failure)
-    await write_delta(store, proposal)
+    overwritten = await write_delta(store, proposal)
     data = manifest.format_manifest(proposal.manifest)
     written = await store.replace(manifest.MANIFEST_KEY, data, accepted.revision)
     failure = written.error if written.is_error() else None
@@ -241,6 +279,7 @@
     if failure is not None:
         return Error(failure)
     await write_delta(store, proposal)
+    await remove_dropped(store, overwritten, proposal)
     return Ok(proposal.manifest)
 
 
--- a/libraries/operations/shallotspindle_operations/publishing_test.py
+++ b/libraries/operations/shallotspindle_operations/publishing_test.py
@@ -82,6 +82,20 @@
         assert len(proposal.chunks) == 2
         assert len(proposal.delta) < 300
 
+    async def test_chunks_of_old_versions_are_removed(self, monkeypatch):
+        # Guards against a store that grows with every change, and against a bundle
+        # whose chunks are removed because an older one had them too.
+        monkeypatch.setattr(publishing.deltas, "KEPT_DELTAS", 3)
+        store, rates = MemoryStore(), [1.0, 2.0, 3.0, 1.0, 4.0, 5.0, 4.0, 6.0]
+        for n, rate in enumerate(rates, start=1):
+            table = teams.build_teams([Team("dealer", rate, 1.0)])
+            bundle = replace(FIRST, version=n, teams=table)
+            await publishing.publish(store, *await prepare(store, bundle, str(n)))
+            read = await publishing.read_accepted(store)
+            assert read.ok.bundle == bundle
+        stored = (await store.list(manifest.CHUNK_PREFIX)).ok
+        assert len(stored) <= 10
+
     async def test_signed_manifest_belongs_to_one_bundle(self):
         # Guards against a sign-off that is used for another bundle.
         store = MemoryStore()
--- a/libraries/settings/shallotspindle_settings/deltas.py
+++ b/libraries/settings/shallotspindle_settings/deltas.py
@@ -54,6 +54,7 @@
     routes: tuple[RouteChangeModel, ...] = ()
     teams: tuple[TeamChangeModel, ...] = ()
     withdrawn: WithdrawnChangeModel | None = None
+    dropped: tuple[bundle.Digest, ...] = ()
 
 
 def describe_change(change: Change) -> tuple[str, Any]:
@@ -86,6 +87,8 @@
 def encode_delta(delta: Delta) -> bytes:
     """Return the stored bytes of a delta."""
     fields: dict[str, Any] = {"version": delta.version, "parent": delta.parent}
+    if delta.dropped:
+        fields["dropped"] = delta.dropped
     for name, value in map(describe_change, delta.changes):
         if name in {"salt", "withdrawn"}:
             fields[name] = value
@@ -98,7 +101,8 @@
     """Validate the stored bytes of a delta."""
     try:
         model = DeltaModel.model_validate_json(data)
-        return Ok(Delta(model.version, model.parent, tuple(build_changes(model))))
+        changes = tuple(build_changes(model))
+        return Ok(Delta(model.version, model.parent, changes, model.dropped))
     except (ValidationError, ValueError, json.JSONDecodeError) as error:
         return Error(ChunkFailure("delta", str(error)))
 
