--- a/libraries/standins/shallotspindle_standins/main.py
+++ b/libraries/standins/shallotspindle_standins/main.py
@@ -32,7 +32,7 @@
     """Start the stand-ins and return their ports by name."""
     ports = {
         "store": await listen(StoreStandin(SystemClock()).build_application()),
-        "list": await listen(ListStandin().build_application()),
+        "list": await listen(ListStandin(SystemClock()).build_application()),
     }
     for name in upstreams:
         standin = UpstreamStandin(name, slots, service_time)
