Show the promises of the fleet in the demo, and tell peers the table

Cause: an instance that starts while the store is away had no way to learn who holds a partition; a fleet that stopped as a whole waited 60 s for successors; a new instance waited 10 s before its first review. Change: instances pull a newer ownership table from peers for lookups only; a planned stop gives up after 3 s without any usable peer; the first review follows the first stored session at once. The demo runs four instances with a deposit sent twice, a withdrawn key and a gray upstream.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -1,153 +1,169 @@
-"""Starts the stand-ins and three instances, sends requests and checks the answers."""
+"""Starts the stand-ins and four instances, sends requests and checks the promises."""
 
-import json
-import secrets
-import subprocess
+import asyncio
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
+from collections import Counter
 from pathlib import Path
 
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
-
-from shallotspindle_keys import digests
-
-BIN = Path(sys.executable).parent
-KEY = "museum-key"
-SALT = "00112233445566778899aabbccddeeff"
-
-
-def write_files(folder: Path, ports: dict[str, int]) -> None:
-    """Write the bundle, the signing key and the settings of three instances."""
-    private = Ed25519PrivateKey.generate()
-    raw = private.private_bytes(
-        serialization.Encoding.Raw,
-        serialization.PrivateFormat.Raw,
-        serialization.NoEncryption(),
-    )
-    public = private.public_key().public_bytes_raw().hex()
-    (folder / "signing-key").write_text(raw.hex())
-    upstreams = [
-        {"name": name, "address": f"127.0.0.1:{port}", "failure_domain": "a"}
-        for name, port in ports.items()
-        if name.startswith("catalogue")
-    ]
-    bundle = {
-        "version": 1,
-        "salt": SALT,
-        "teams": [
-            {
-                "name": "museum",
-                "rate": 100,
-                "burst": 100,
-                "key_digests": [digests.digest_key(bytes.fromhex(SALT), KEY).hex()],
-            }
-        ],
-        "services": [{"name": "catalogue", "upstreams": upstreams, "floor": 1}],
-        "routes": [{"name": "records", "prefix": "/records", "service": "catalogue"}],
-    }
-    (folder / "bundle.json").write_text(json.dumps(bundle, indent=2))
-    for n in range(3):
-        settings = {
-            "name": f"entry-{n}",
-            "failure_domain": "abc"[n],
-            "store_url": f"http://127.0.0.1:{ports['store']}",
-            "instance_list_url": f"http://127.0.0.1:{ports['list']}/instances",
-            "signers": {"astrid": public},
-            "fleet_secret": secrets.token_hex(32),
-        }
-        (folder / f"entry-{n}.json").write_text(json.dumps(settings))
-
-
-def start_entry(folder: Path, n: int) -> tuple[subprocess.Popen, int]:
-    """Start an instance and return it with the port for callers once it is ready."""
-    process = subprocess.Popen(
-        [BIN / "shallotspindle-entry", "--settings", folder / f"entry-{n}.json"],
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-    for line in process.stderr:
-        fields = json.loads(line)["message"].split()
-        if fields[0] == "listening:":
-            wait_until_ready(int(fields[4]))
-            return process, int(fields[2].rstrip(","))
-    sys.exit(f"instance {n} did not start")
-
-
-def wait_until_ready(port: int) -> None:
-    """Ask an instance's administration port until it is ready."""
-    while True:
-        try:
-            with urllib.request.urlopen(f"http://127.0.0.1:{port}/ready", timeout=5):
-                return
-        except urllib.error.URLError:
-            time.sleep(0.05)
-
-
-def send(port: int, path: str, key: str | None) -> tuple[int, str]:
-    """Send a request and return the status and the body."""
-    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}")
-    if key:
-        request.add_header("Authorization", f"Bearer {key}")
+sys.path.insert(0, str(Path(__file__).parents[1] / "tools"))
+
+import aiohttp
+import processes
+import sizes
+
+INSTANCES = 4
+READS = 200
+WAIT_SECONDS = 20.0
+SIZE = sizes.Size(teams=3, services=(("catalogue", 4), ("deposits", 2)))
+
+
+class Report:
+    """Counts outcomes and failed checks."""
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.failed: list[str] = []
+
+    def check(self, text: str, holds: bool) -> None:
+        """Note whether a promise held."""
+        print(f"{'held  ' if holds else 'BROKEN'} {text}")
+        if not holds:
+            self.failed.append(text)
+
+
+class Demo:
+    """The fleet, an HTTP client and the report."""
+
+    def __init__(
+        self, fleet: processes.Fleet, session: aiohttp.ClientSession, report: Report
+    ) -> None:
+        self.fleet = fleet
+        self.session = session
+        self.report = report
+
+    async def send(
+        self, entry: int, method: str, path: str, key: str, **fields: str
+    ) -> tuple[int, str]:
+        """Send a request to an instance; return the status and the body."""
+        port = self.fleet.entries[entry % len(self.fleet.entries)].callers
+        headers = {"Authorization": f"Bearer {key}", **fields}
+        body = b"50 EUR" if method == "POST" else None
+        async with self.session.request(
+            method, f"http://127.0.0.1:{port}{path}", headers=headers, data=body
+        ) as answer:
+            self.report.outcomes[str(answer.status)] += 1
+            return answer.status, await answer.text()
+
+    async def count_runs(self, marker: str) -> int:
+        """Return how often upstreams ran the requests with a marker."""
+        runs = 0
+        for address in self.fleet.upstreams.values():
+            answer = await self.fleet.call("GET", f"{address.split(':')[1]}/_runs")
+            runs += answer["runs"].get(marker, 0)
+        return runs
+
+    async def await_limits(self) -> None:
+        """Wait until each team has tokens: new buckets start empty."""
+        for team in (1, 2, 3):
+            while True:
+                status, _ = await self.send(
+                    0, "GET", "/catalogue/1", f"key-team-{team}"
+                )
+                if status == 200:
+                    break
+                await asyncio.sleep(0.2)
+        self.report.outcomes.clear()
+
+    async def show_reads(self) -> None:
+        """Catalogue reads get their own answers."""
+        paths = [f"/catalogue/record-{n}" for n in range(READS)]
+        answers = await asyncio.gather(
+            *(self.send(n, "GET", p, "key-team-1") for n, p in enumerate(paths))
+        )
+        own = all(
+            status == 200 and f" {path} " in text
+            for path, (status, text) in zip(paths, answers, strict=True)
+        )
+        self.report.check(f"{READS} reads through {INSTANCES} instances", own)
+
+    async def show_booking(self) -> None:
+        """A deposit that is sent to two instances at once runs once."""
+        fields = {"Idempotency-Key": "deposit-1", "X-Request-Marker": "deposit-1"}
+        answers = await asyncio.gather(
+            *(
+                self.send(n, "POST", "/deposits/1", "key-team-2", **fields)
+                for n in (0, 1)
+            )
+        )
+        statuses = sorted(status for status, _ in answers)
+        runs = await self.count_runs("deposit-1")
+        text = f"one deposit at two instances: answers {statuses}, runs {runs}"
+        self.report.check(text, runs == 1 and 200 in statuses)
+
+    async def show_withdrawal(self) -> None:
+        """A withdrawn key stops working at every instance, on open connections."""
+        await self.fleet.operate(
+            *("key", "withdraw", "--digest", sizes.digest_key("key-team-3").hex()),
+            *("--reason", "lost", "--instance", self.fleet.entries[0].administrator),
+        )
+        started = time.monotonic()
+        refused: set[int] = set()
+        while len(refused) < INSTANCES and time.monotonic() - started < WAIT_SECONDS:
+            for n in range(INSTANCES):
+                status, _ = await self.send(n, "GET", "/catalogue/1", "key-team-3")
+                refused |= {n} if status == 401 else set()
+        seconds = time.monotonic() - started
+        text = f"withdrawn key refused by {len(refused)} instances in {seconds:.1f} s"
+        self.report.check(text, len(refused) == INSTANCES and seconds < 5)
+
+    async def show_gray_upstream(self) -> None:
+        """Half answers of one upstream do not reach callers as whole ones."""
+        address = self.fleet.upstreams["catalogue-1"]
+        place = f"{address.split(':')[1]}/_behaviour"
+        await self.fleet.call("POST", place, {"truncate": True})
+        whole = cut = wrong = 0
+        for n in range(READS):
+            path = f"/catalogue/gray-{n}"
+            try:
+                status, text = await self.send(n, "GET", path, "key-team-1")
+            except aiohttp.ClientError:
+                cut += 1
+                continue
+            good = status >= 400 or f" {path} " in text
+            whole, wrong = whole + good, wrong + (not good)
+        text = f"gray upstream: {whole} whole or refused, {cut} cut, {wrong} wrong"
+        self.report.check(text, wrong == 0)
+
+
+async def run(folder: Path) -> int:
+    report = Report()
+    fleet = processes.Fleet(folder, SIZE)
     try:
-        with urllib.request.urlopen(request, timeout=10) as response:
-            return response.status, response.read().decode()
-    except urllib.error.HTTPError as error:
-        return error.code, error.read().decode()
-
-
-def run(folder: Path, processes: list[subprocess.Popen]) -> int:
-    standins = subprocess.Popen(
-        [BIN / "shallotspindle-standins", "catalogue-1", "catalogue-2"],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    processes.append(standins)
-    ports = json.loads(standins.stdout.readline())
-    write_files(folder, ports)
-    subprocess.run(
-        [
-            BIN / "shallotspindle",
-            "publish",
-            folder / "bundle.json",
-            "--store",
-            f"http://127.0.0.1:{ports['store']}",
-            "--signer",
-            "astrid",
-            "--key",
-            folder / "signing-key",
-        ],
-        check=True,
-    )
-    counts = {"own answer": 0, "refused without key": 0, "wrong": 0}
-    for n in range(3):
-        process, port = start_entry(folder, n)
-        processes.append(process)
-        status, body = send(port, "/records/7", KEY)
-        good = status == 200 and "GET /records/7" in body
-        counts["own answer" if good else "wrong"] += 1
-        status, body = send(port, "/records/7", "other")
-        good = status == 401 and json.loads(body)["outcome"] == "not-run"
-        counts["refused without key" if good else "wrong"] += 1
-    print(json.dumps(counts, indent=2))
-    return 1 if counts["wrong"] else 0
+        await fleet.start_standins(SIZE.upstreams, 2, 0.002)
+        await fleet.publish()
+        await fleet.start_entries(INSTANCES, stop_wait=0.0)
+        await fleet.await_partitions(sizes.PARTITIONS)
+        async with aiohttp.ClientSession() as session:
+            demo = Demo(fleet, session, report)
+            await demo.await_limits()
+            await demo.show_reads()
+            await demo.show_booking()
+            await demo.show_withdrawal()
+            await demo.show_gray_upstream()
+    finally:
+        await fleet.stop()
+    print("answers by status:", dict(sorted(report.outcomes.items())))
+    return 1 if report.failed else 0
 
 
 def main() -> int:
     started = time.monotonic()
-    processes: list[subprocess.Popen] = []
     with tempfile.TemporaryDirectory() as folder:
-        try:
-            return run(Path(folder), processes)
-        finally:
-            for process in processes:
-                process.terminate()
-            for process in processes:
-                process.wait(timeout=30)
-            print(f"{time.monotonic() - started:.1f} s")
+        status = asyncio.run(run(Path(folder)))
+    print(f"{time.monotonic() - started:.1f} s")
+    return status
 
 
 if __name__ == "__main__":
--- a/libraries/entry/shallotspindle_entry/coordination.py
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -9,6 +9,7 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
 from shallotspindle_bundles import differences
+from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import (
     FailureDomain,
@@ -59,17 +60,19 @@
     ownership_messages.HandOver,
     ownership_messages.Accepted,
     ownership_messages.Moved,
+    ownership_messages.TableAsked,
+    ownership_messages.TableTold,
 )
 
 
 @dataclass(frozen=True, slots=True)
 class BundleLimits:
-    """Limits of the bundle in force; implements ``Limits``."""
+    """Limits of one bundle; implements ``Limits``."""
 
-    configuration: ConfigurationTask
+    bundle: Bundle
 
     def find_limit(self, team: TeamName) -> Limit | None:
-        found = self.configuration.current.bundle.teams.get(team)
+        found = self.bundle.teams.get(team)
         return None if found is None else Limit(found.rate, found.burst)
 
 
@@ -129,7 +132,6 @@
             self.peers,
             self.ownership,
             self.peers,
-            BundleLimits(self.configuration),
             clock,
             source,
         )
@@ -157,7 +159,7 @@
         self.peers.note_store(self.configuration.store_heard)
         return Progress(
             bundle_version=self.configuration.version,
-            table_version=self.ownership.table.revision,
+            table_version=self.ownership.seen_revision,
             withdrawals=self.configuration.withdrawal_summary,
         )
 
@@ -165,12 +167,14 @@
         self.configuration.tell(
             PeerDigest(peer, progress.bundle_version, progress.withdrawals)
         )
+        self.ownership.note_ahead(peer, progress.table_version)
 
     def _note_bundle(self, before: Configuration, after: Configuration) -> None:
         if before.bundle is after.bundle:
             return
+        limits = BundleLimits(after.bundle)
         if before.bundle.version == 0:
-            self.admission.note_bundle(None)
+            self.admission.note_bundle(limits, None)
             return
         changes = differences.compare_teams(before.bundle.teams, after.bundle.teams)
-        self.admission.note_bundle(change.name for change in changes)
+        self.admission.note_bundle(limits, (change.name for change in changes))
--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -19,6 +19,7 @@
 from shallotspindle_entry import review, transfers
 from shallotspindle_entry.interfaces import PartitionGained, PartitionLost, PeerLink
 from shallotspindle_entry.sessions import SessionWriter
+from shallotspindle_entry.table_sharing import TableSharing
 from shallotspindle_entry.tasks import Task
 from shallotspindle_ownership import holdings, sessions
 from shallotspindle_ownership import table as tables
@@ -31,6 +32,7 @@
     Offer,
     Part,
     Ready,
+    TableTold,
 )
 from shallotspindle_ownership.sessions import Phase
 from shallotspindle_ownership.table import Entry, Table, Write
@@ -42,6 +44,8 @@
 )
 
 RETRY_SECONDS = 10.0
+# A new instance looks again this often until its session is stored.
+START_SECONDS = 0.2
 WRITE_TRIES = 6
 WRITE_PAUSE_SECONDS = 0.5
 
@@ -105,7 +109,7 @@
     """A message of another instance."""
 
     sender: Instance
-    message: Offer | HandOver | Moved
+    message: Offer | HandOver | Moved | TableTold
 
 
 class OwnershipTask(Task):
@@ -139,6 +143,7 @@
         self._view: dict[int, Entry] = {}
         self._known = {me.incarnation: me}
         self._listeners: dict[str, Listener] = {}
+        self._sharing = TableSharing(self)
         self._loops: list[asyncio.Task] = []
         self._session = SessionWriter(me, store, clock, self._acknowledge)
         self._review = review.Reviewer(self, instances)
@@ -183,7 +188,7 @@
     async def prepare(self) -> None:
         self._loops = [
             asyncio.create_task(self._repeat(self.renew, sessions.RENEWAL_SECONDS)),
-            asyncio.create_task(self._repeat(self.review, RETRY_SECONDS)),
+            asyncio.create_task(self._repeat_reviews()),
         ]
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -191,6 +196,22 @@
             loop.cancel()
         await super().stop(exception)
 
+    @property
+    def seen_revision(self) -> int:
+        """Highest revision of the table that the store or a peer showed."""
+        return max(self.table.revision, self._sharing.told.revision)
+
+    def note_ahead(self, peer: Instance, revision: int) -> None:
+        """Note that a peer knows a table; ask for it if it is newer.
+
+        An instance that starts while the store is away learns the holders so.
+        """
+        self._sharing.note_ahead(peer, revision)
+
+    async def take_told(self, peer: Instance, told: TableTold) -> None:
+        """Note the holders that a peer told."""
+        await self.ask(PeerMessage(peer, told))
+
     async def renew(self) -> bool:
         """Renew the session once and return whether it succeeded."""
         if not sessions.may_renew(self.rights.session):
@@ -225,6 +246,8 @@
                 return self._answer_offer(offered, now)
             case PeerMessage(_, HandOver() as received):
                 return self._receive(received, now)
+            case PeerMessage(_, TableTold() as told):
+                self._take_told(told)
             case PeerMessage(_, Moved(entries)):
                 for partition, holder, epoch in entries:
                     self._note(partition, Entry(holder, epoch))
@@ -315,6 +338,17 @@
             # Spreads the calls of instances that started together.
             await self.sleep(wait * (0.9 + 0.1 * self.source.random()))
 
+    async def _repeat_reviews(self) -> None:
+        while self.find_phase() is Phase.LAPSED and not self.rights.session.counter:
+            await self.sleep(START_SECONDS)
+        await self._repeat(self.review, RETRY_SECONDS)
+
+    def _take_told(self, told: TableTold) -> None:
+        table = self._sharing.take(told)
+        if table is not None:
+            for partition, entry in table.entries.items():
+                self._note(partition, entry)
+
     def _see(self, table: Table, now: float) -> None:
         if table.revision >= self.table.revision:
             self.table = table
--- a/libraries/entry/shallotspindle_entry/transfers.py
+++ b/libraries/entry/shallotspindle_entry/transfers.py
@@ -22,6 +22,8 @@
 MESSAGE_TRIES = 3
 WRITE_TRIES = 10
 PAUSE_SECONDS = 0.5
+# The last instances of a fleet that stops as a whole find nobody to hand over to.
+NO_SUCCESSOR_SECONDS = 3.0
 
 
 def group(
@@ -38,6 +40,7 @@
     """Hand over all partitions until a deadline; see ``OwnershipTask``."""
     refused: set[Incarnation] = set()
     given_up = 0
+    had_successor = task.clock.boottime()
     while task.rights.held and task.clock.boottime() < deadline:
         if task.find_phase() is Phase.LAPSED:
             break
@@ -51,7 +54,12 @@
             given_up += lost or 0
         if task.rights.held:
             await task.sleep(PAUSE_SECONDS)
-        if not peers:
+        now = task.clock.boottime()
+        if peers:
+            had_successor = now
+        elif now >= had_successor + NO_SUCCESSOR_SECONDS:
+            break
+        else:
             refused.clear()
     return given_up + len(task.rights.held)
 
--- a/libraries/ownership/shallotspindle_ownership/messages.py
+++ b/libraries/ownership/shallotspindle_ownership/messages.py
@@ -73,3 +73,21 @@
     """
 
     entries: tuple[tuple[int, Incarnation, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TableAsked:
+    """Asks a peer for the ownership table as it knows it."""
+
+
+@dataclass(frozen=True, slots=True)
+class TableTold:
+    """The table as a peer knows it.
+
+    It shows whom to ask; it gives nobody a right.
+
+    :param data: encoded table; empty when the peer has none.
+    """
+
+    revision: int
+    data: bytes
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import json
-import os
 import re
 import resource
 import secrets
-import subprocess
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -15,7 +13,9 @@
 import sizes
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-LISTENING = re.compile(r"callers (\d+), administration (\d+)")
+LISTENING = re.compile(
+    r"callers (\d+), administration (\d+), peers (\S+), incarnation (\w+)"
+)
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.05
 STOP_SECONDS = 20.0
@@ -31,9 +31,16 @@
     process: asyncio.subprocess.Process
     callers: int = 0
     administration: int = 0
+    peers: str = ""
+    incarnation: str = ""
     log: list[str] = field(default_factory=list)
     reader: asyncio.Task | None = None
 
+    @property
+    def administrator(self) -> str:
+        """Address of the administration socket."""
+        return f"127.0.0.1:{self.administration}"
+
     def describe(self) -> dict:
         return {
             "name": self.name,
@@ -113,25 +120,41 @@
         bundle = sizes.build_bundle(self.size, self.upstreams, self.version)
         path = self.folder / "bundle.json"
         path.write_text(json.dumps(bundle))
+        await self.operate("publish", str(path))
+
+    async def operate(self, *arguments: str) -> None:
+        """Run the operators' command with the store and the signer's key.
+
+        :raises RuntimeError: if the command fails.
+        """
         key = self.folder / "signing-key"
         key.write_text(self._key.private_bytes_raw().hex())
-        store = f"http://127.0.0.1:{self.ports['store']}"
-        command = (sys.executable, "-m", "shallotspindle_operations.main", "publish")
-        options = ("--store", store, "--signer", SIGNER, "--key", str(key))
-        process = subprocess.Popen(
-            (*command, str(path), *options), stdout=subprocess.DEVNULL
+        process = await start_module(
+            "shallotspindle_operations.main",
+            *arguments,
+            *("--store", f"http://127.0.0.1:{self.ports['store']}"),
+            *("--signer", SIGNER, "--key", str(key)),
+            stdout=asyncio.subprocess.PIPE,
         )
-        _, status, used = await asyncio.to_thread(os.wait4, process.pid, 0)
-        process.returncode = os.waitstatus_to_exitcode(status)
+        output, _ = await process.communicate()
         if process.returncode:
-            raise RuntimeError(f"version {self.version} was not accepted")
-        return used
+            raise RuntimeError(f"{arguments}: {output.decode()}")
+
+    async def await_partitions(self, count: int) -> None:
+        """Wait until the daemons hold all partitions together."""
+        while True:
+            places = [f"{entry.administration}/state" for entry in self.entries]
+            states = await asyncio.gather(*(self.call("GET", p) for p in places))
+            if sum(state["partitions"] for state in states) >= count:
+                return
+            await asyncio.sleep(POLL_SECONDS)
 
     async def start_entry(self, number: int, stop_wait: float = 0.5) -> Entry:
         """Start a daemon and wait until it is ready."""
         settings = {
             "name": f"entry-{number}",
             "failure_domain": sizes.DOMAINS[number % 3],
+            "failure_domains": list(sizes.DOMAINS[:3]),
             "store_url": f"http://127.0.0.1:{self.ports['store']}",
             "instance_list_url": f"http://127.0.0.1:{self.ports['list']}/instances",
             "signers": {SIGNER: self._key.public_key().public_bytes_raw().hex()},
@@ -154,6 +177,12 @@
         entry.process = await self._spawn(entry.settings)
         await self._await_ready(entry)
 
+    async def start_entries(self, count: int, stop_wait: float = 0.5) -> None:
+        """Start daemons side by side."""
+        first = len(self.entries)
+        numbers = range(first, first + count)
+        await asyncio.gather(*(self.start_entry(n, stop_wait) for n in numbers))
+
     async def _spawn(self, path: Path) -> asyncio.subprocess.Process:
         return await start_module(
             "shallotspindle_entry.main",
@@ -166,16 +195,43 @@
             entry.log.append(line.decode())
             found = LISTENING.search(entry.log[-1])
             if found:
-                entry.callers, entry.administration = map(int, found.groups())
+                entry.callers, entry.administration = map(int, found.groups()[:2])
+                entry.peers, entry.incarnation = found.groups()[2:]
                 break
         else:
             raise RuntimeError(f"{entry.name} ended: {''.join(entry.log)}")
+        await self._list(entry)
         # An undrained pipe would block the daemon once it is full.
         entry.reader = asyncio.create_task(self._drain(entry))
         async with asyncio.timeout(READY_SECONDS):
             while not await ask_ready(entry.administration):
                 await asyncio.sleep(POLL_SECONDS)
 
+    async def _list(self, entry: Entry) -> None:
+        """Put a daemon into the platform's list of instances."""
+        domain = json.loads(entry.settings.read_text())["failure_domain"]
+        labels = {"incarnation": entry.incarnation, "failure_domain": domain}
+        group = {"targets": [entry.peers], "labels": labels}
+        await self.call("POST", f"{self.ports['list']}/instances", group)
+
+    async def remove(self, entry: Entry) -> None:
+        """Take a daemon out of the platform's list of instances."""
+        path = f"{self.ports['list']}/instances/{entry.incarnation}"
+        await self.call("DELETE", path)
+
+    async def set_store_faults(self, **faults: object) -> None:
+        await self.call("POST", f"{self.ports['store']}/faults", faults)
+
+    @staticmethod
+    async def call(method: str, place: str, body: object = None) -> object:
+        """Call a control path; the place is a port and a path."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, f"http://127.0.0.1:{place}", json=body) as answer,
+        ):
+            answer.raise_for_status()
+            return await answer.json(content_type=None)
+
     async def _drain(self, entry: Entry) -> None:
         async for line in entry.process.stderr:
             entry.log.append(line.decode())
--- a/tools/sizes.py
+++ b/tools/sizes.py
@@ -7,6 +7,7 @@
 
 SALT = "00112233445566778899aabbccddeeff"
 RATE = 100_000.0
+PARTITIONS = 1024
 DOMAINS = "abcdefgh"
 
 
@@ -46,9 +47,14 @@
     return [name for row in rows for name in row if name is not None]
 
 
+def digest_key(key: str) -> bytes:
+    """Return the digest of a key under the bundle's salt."""
+    return digests.digest_key(bytes.fromhex(SALT), key)
+
+
 def build_team(number: int, rate: float) -> dict:
     name = f"team-{number}"
-    digest = digests.digest_key(bytes.fromhex(SALT), f"key-{name}").hex()
+    digest = digest_key(f"key-{name}").hex()
     return {"name": name, "rate": rate, "burst": rate, "key_digests": [digest]}
 
 
