Weigh the turns of teams by their rates

Cause: with equal turns a small team at eight times its rate takes as much as a large team within its rate. A default of Dispatcher also replaced an empty queue that was passed in, since an empty queue is false; the queue is now compared with None. Change: deficit round robin with weights in proportion to the rates.

--- a/libraries/bench/shallotspindle_bench/policies.py
+++ b/libraries/bench/shallotspindle_bench/policies.py
@@ -127,15 +127,21 @@
     return found
 
 
+def find_parts(deployment: Deployment) -> dict[str, float]:
+    """Return the part of the agreed traffic by team."""
+    small = (1 - LARGE_TEAM_PART) / (deployment.teams - 1)
+    numbers = range(deployment.teams)
+    return {f"t{number}": small if number else LARGE_TEAM_PART for number in numbers}
+
+
 def plan_requests(
     deployment: Deployment, scenario: str, seconds: float, random: Random
 ) -> list[Request]:
     """Draw the arrivals; the first team is large, the last may exceed its rate."""
     total = UTILISATION * 2 * deployment.upstreams / MEAN_SERVICE_SECONDS
     requests: list[Request] = []
-    for number in range(deployment.teams):
-        small = (1 - LARGE_TEAM_PART) / (deployment.teams - 1)
-        rate = total * (small if number else LARGE_TEAM_PART)
+    for number, part in enumerate(find_parts(deployment).values()):
+        rate = total * part
         time = 0.0
         while time < seconds:
             excess = scenario == "excess-team" and number == deployment.teams - 1
@@ -171,7 +177,10 @@
         near = [n for n, item in upstreams.items() if item.record.domain == "d0"]
         cut = (1, frozenset(near))
     floor = max(1, round(0.7 * deployment.upstreams))
-    setup = Setup(run.policy, run.health == "naive", floor, deployment.delay, cut)
+    parts = find_parts(deployment)
+    setup = Setup(
+        run.policy, run.health == "naive", floor, deployment.delay, parts, cut
+    )
     domains = [f"d{number}" for number in range(deployment.domains)]
     fleet = Fleet(events, upstreams, domains, deployment.instances, random, setup)
     for request in requests:
--- a/libraries/bench/shallotspindle_bench/policies_fleet.py
+++ b/libraries/bench/shallotspindle_bench/policies_fleet.py
@@ -19,7 +19,7 @@
 from shallotspindle_retries.budget import Budget
 from shallotspindle_retries.eligibility import Attempt
 from shallotspindle_routing.dispatch import Assigned, Decision, Dispatcher
-from shallotspindle_routing.fairqueue import Waiting
+from shallotspindle_routing.fairqueue import FairQueue, Waiting
 from shallotspindle_routing.policies import POLICIES
 
 SERVICE = "service"
@@ -72,6 +72,7 @@
     naive: bool
     floor: int
     delay: float
+    rates: Mapping[str, float]
     cut: tuple[int, frozenset[str]] | None = None
 
 
@@ -102,7 +103,11 @@
             NaiveHealth(names) if setup.naive or found is None else found
         )
         self.dispatcher = Dispatcher(
-            own.domain, self.health, POLICIES[setup.policy](), random
+            own.domain,
+            self.health,
+            POLICIES[setup.policy](),
+            random,
+            queue=FairQueue(512, setup.rates),
         )
         self.dispatcher.update([item.record for item in fleet.upstreams.values()])
 
--- a/libraries/routing/shallotspindle_routing/dispatch.py
+++ b/libraries/routing/shallotspindle_routing/dispatch.py
@@ -101,7 +101,8 @@
         self._policy = policy
         self._random = random
         self._limiter = limiter or Limiter()
-        self._queue = queue or FairQueue()
+        # An empty queue is false.
+        self._queue = FairQueue() if queue is None else queue
         self._places: dict[str, Place] = {}
         self._running: dict[int, Place] = {}
         self._typical_load = 0.0
--- a/libraries/routing/shallotspindle_routing/fairqueue.py
+++ b/libraries/routing/shallotspindle_routing/fairqueue.py
@@ -6,9 +6,11 @@
 
 import heapq
 from collections import OrderedDict, deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 
-QUANTUM = 1.0
+# Bounds the turns that the queue takes to serve one request.
+LEAST_WEIGHT = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +35,16 @@
     """Requests of one service, by team.
 
     :param capacity: requests that wait at most.
+    :param weights: part of the work by team, such as its rate; without a weight a
+        team counts like the mean.
     """
 
-    def __init__(self, capacity: int = 512) -> None:
+    def __init__(
+        self, capacity: int = 512, weights: Mapping[str, float] | None = None
+    ) -> None:
         self._capacity = capacity
+        self._weights: dict[str, float] = {}
+        self.set_weights(weights or {})
         self._teams: OrderedDict[str, deque[Waiting]] = OrderedDict()
         self._deficits: dict[str, float] = {}
         self._members: dict[int, Waiting] = {}
@@ -45,13 +53,26 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Take the parts of the teams; they are scaled to a mean of 1."""
+        positive = [value for value in weights.values() if value > 0]
+        mean = sum(positive) / len(positive) if positive else 1.0
+        self._weights = {
+            team: max(LEAST_WEIGHT, value / mean) for team, value in weights.items()
+        }
+
+    def _weigh(self, team: str) -> float:
+        return self._weights.get(team, 1.0)
+
     def push(self, item: Waiting) -> Waiting | None:
         """Add a request; return the one that is refused for lack of room."""
         self._insert(item).append(item)
         if len(self._members) <= self._capacity:
             return None
-        longest = max(self._teams.values(), key=len)
-        refused = longest.pop()
+        longest = max(
+            self._teams, key=lambda team: len(self._teams[team]) / self._weigh(team)
+        )
+        refused = self._teams[longest].pop()
         self._settle(refused)
         return refused
 
@@ -69,7 +90,7 @@
                 self._deficits[team] -= item.cost
                 self._settle(item)
                 return item
-            self._deficits[team] += QUANTUM
+            self._deficits[team] += self._weigh(team)
             self._teams.move_to_end(team)
         return None
 
