Verify carried withdrawals and refuse bundles that revive a key

Cause: a run against the stand-ins showed that a failed read was reported as an unknown outcome, that three lost answers in a row stopped a change, and that withdrawals found in the store were carried without proof of their writer. An old file under a new version could make a withdrawn key work again.

Change: reads never report a write in doubt. Chunks, whose writing has no second effect, are tried five times. A bundle that gives a withdrawn key back to a team is refused. The verification of the trail compares it with the accepted version.

--- a/libraries/operations/shallotspindle_operations/auditing.py
+++ b/libraries/operations/shallotspindle_operations/auditing.py
@@ -12,6 +12,7 @@
 from shallotspindle_audit import records
 from shallotspindle_audit.records import Change, Record, TrailFailure
 from shallotspindle_core.failures import Failure
+from shallotspindle_operations import publishing
 from shallotspindle_platform.interface import Conflict, OutcomeUnknown, Store
 from shallotspindle_settings import audit
 
@@ -164,6 +165,18 @@
 async def verify_trail(
     store: Store, head: str | None
 ) -> Result[tuple[tuple[Record, ...], tuple[TrailFailure, ...]], Failure]:
-    """Read the whole trail and check it."""
+    """Read the whole trail and check it, also against the accepted version."""
+    # The version is read first, since a change made meanwhile adds a record.
+    version = await publishing.read_version(store)
+    if version.is_error():
+        return Error(version.error)
     trail = await read_trail(store)
-    return trail.map(lambda found: (found, records.verify(found, head)))
+    if trail.is_error():
+        return Error(trail.error)
+    failures = records.verify(trail.ok, head)
+    recorded = max((item.change.version for item in trail.ok), default=0)
+    if recorded < version.ok:
+        source = f"bundle {version.ok}"
+        message = "the accepted bundle has no audit record"
+        failures += (TrailFailure(source, message, f"last is bundle {recorded}"),)
+    return Ok((trail.ok, failures))
--- a/libraries/operations/shallotspindle_operations/bundle_commands.py
+++ b/libraries/operations/shallotspindle_operations/bundle_commands.py
@@ -5,13 +5,13 @@
 from dataclasses import replace
 from pathlib import Path
 
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from cyclopts import App
 from expression import Result
 
 from shallotspindle_bundles import differences
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_operations import changing, options, outcomes, publishing, rendering
+from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
 from shallotspindle_operations.publishing import Accepted, Proposal
 from shallotspindle_platform.clock import SystemClock
@@ -139,7 +139,7 @@
 
 @app.command
 def sign(
-    path: Path, output: Path, *, signer: options.Signer, json: options.Json = False
+    path: Path, output: Path, *, signer: str, key: Path, json: options.Json = False
 ) -> int:
     """Sign a bundle off without publishing it.
 
@@ -150,36 +150,38 @@
 
     :param path: JSON file with the bundle.
     :param output: File to write the manifest to; it must not exist.
+    :param signer: Name of the person who signs.
+    :param key: File with the person's private key in hex.
     :param json: Print the result as JSON.
     """
     loaded = bundle_form.load_bundle(path)
     if loaded.is_error():
         return outcomes.emit(outcomes.fail(loaded.error, Exit.INVALID), json)
-    key = options.read_key(signer.key)
-    if key.is_error():
-        return outcomes.emit(outcomes.fail((key.error,), Exit.INVALID), json)
+    private = options.read_key(key)
+    if private.is_error():
+        return outcomes.emit(outcomes.fail((private.error,), Exit.INVALID), json)
     parent = Accepted(Bundle(loaded.ok.version - 1, b""))
     proposal = publishing.propose(
-        parent, loaded.ok, signer.signer, key.ok, uuid.uuid4().hex
+        parent, loaded.ok, signer, private.ok, uuid.uuid4().hex
     )
     text = manifest_form.format_manifest(proposal.ok.manifest).decode()
     failure = write_new(output, text + "\n")
     if failure is not None:
         return outcomes.emit(outcomes.fail((failure,), Exit.INVALID), json)
-    line = f"{output}: bundle {loaded.ok.version} is signed off by {signer.signer}"
-    data = {"path": str(output), "version": loaded.ok.version, "signer": signer.signer}
+    line = f"{output}: bundle {loaded.ok.version} is signed off by {signer}"
+    data = {"path": str(output), "version": loaded.ok.version, "signer": signer}
     return outcomes.emit(Outcome(Exit.DONE, (line,), data), json)
 
 
-async def publish_bundle(
-    store: Store, bundle: Bundle, signer: str, key: Ed25519PrivateKey
-) -> Outcome:
+async def publish_bundle(store: Store, bundle: Bundle, operator: Operator) -> Outcome:
     """Sign a bundle and make it the accepted one."""
     accepted = await publishing.read_accepted(store)
     if accepted.is_error():
         return outcomes.fail((accepted.error,))
-    proposal = publishing.propose(accepted.ok, bundle, signer, key, uuid.uuid4().hex)
-    return await accept(store, accepted.ok, proposal, signer)
+    proposal = publishing.propose(
+        accepted.ok, bundle, operator.name, operator.key, uuid.uuid4().hex
+    )
+    return await accept(store, accepted.ok, proposal, operator.name)
 
 
 async def publish_signed(store: Store, bundle: Bundle, path: Path) -> Outcome:
@@ -256,7 +258,7 @@
         outcome = options.run_signed(
             store,
             person,
-            lambda found, private: publish_bundle(found, loaded.ok, signer, private),
+            lambda found, operator: publish_bundle(found, loaded.ok, operator),
         )
     else:
         message = "give a signer and a key, or a signed manifest"
--- a/libraries/operations/shallotspindle_operations/changing.py
+++ b/libraries/operations/shallotspindle_operations/changing.py
@@ -4,27 +4,33 @@
 """
 
 import uuid
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
 from expression import Error, Ok, Result
 
 from shallotspindle_audit.records import Change
-from shallotspindle_bundles import parts
+from shallotspindle_bundles import parts, withdrawals
 from shallotspindle_bundles.manifests import Manifest
 from shallotspindle_bundles.records import Bundle
+from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.failures import Failure
 from shallotspindle_operations import auditing, publishing, rendering
 from shallotspindle_operations.auditing import AuditFailure
 from shallotspindle_operations.publishing import Accepted, Proposal
+from shallotspindle_operations.rendering import DIGEST_DIGITS
 from shallotspindle_platform.interface import Store
 from shallotspindle_settings import withdrawal
 
 DETAILS_MAX = 200
 
 Failures = tuple[Failure, ...]
+Signers = Mapping[str, Ed25519PublicKey]
 Edit = Callable[[Bundle], Result[Bundle, Failures]]
 
 
@@ -48,11 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """The person who makes a change."""
+    """The person who makes a change.
+
+    :param signers: public keys by which withdrawals of other persons are verified.
+    """
 
     name: str
     key: Ed25519PrivateKey
     clock: Clock
+    signers: Signers = field(default_factory=dict)
 
 
 def limit(lines: tuple[str, ...]) -> tuple[str, ...]:
@@ -95,10 +105,16 @@
 
 
 async def accept(
-    store: Store, accepted: Accepted, proposal: Proposal, action: str, clock: Clock
+    store: Store,
+    accepted: Accepted,
+    proposal: Proposal,
+    action: str,
+    clock: Clock,
+    notes: tuple[str, ...] = (),
 ) -> Result[Done, Failure]:
     """Publish a proposal and record it.
 
+    :param notes: lines of the record beside the differences.
     :returns: ``AuditFailure`` when it is accepted but not recorded.
     """
     failure = await record_missing(store, accepted, clock)
@@ -107,7 +123,7 @@
     published = await publishing.publish(store, accepted, proposal)
     if published.is_error():
         return Error(published.error)
-    lines = rendering.render(proposal.changes)
+    lines = (*rendering.render(proposal.changes), *notes)
     written = await record(store, published.ok, action, lines, clock)
     if written.is_error():
         source = f"bundle {published.ok.version}"
@@ -124,14 +140,51 @@
     )
 
 
-async def carry_withdrawals(store: Store, bundle: Bundle) -> Result[Bundle, Failure]:
-    """Add the withdrawals that were given while the store was away."""
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """A bundle with the withdrawals that were given while the store was away.
+
+    :param notes: one line for each statement that the bundle now carries.
+    :param warnings: one line for each statement that could not be verified.
+    """
+
+    bundle: Bundle
+    notes: tuple[str, ...]
+    warnings: tuple[str, ...]
+
+
+def describe_statement(item: Withdrawal) -> str:
+    digest = item.digest.hex()[:DIGEST_DIGITS]
+    return f"withdrawal {digest} stated by {item.person} at {item.time}: {item.reason}"
+
+
+async def carry_withdrawals(
+    store: Store, bundle: Bundle, signers: Signers
+) -> Result[Carried, Failure]:
+    """Add the verified withdrawals of the store to a bundle.
+
+    The store does not prove who wrote them, so each signature is checked.
+    """
     entries = await store.list(withdrawal.WITHDRAWAL_PREFIX)
     if entries.is_error():
         return Error(entries.error)
     parsed = [withdrawal.parse_withdrawal(item.key, item.data) for item in entries.ok]
-    found = {item.ok.digest for item in parsed if item.is_ok()}
-    return Ok(replace(bundle, withdrawn=bundle.withdrawn | found))
+    found = [item.ok for item in parsed if item.is_ok()]
+    new = [item for item in found if item.digest not in bundle.withdrawn]
+    failures = {item.digest: withdrawals.verify(item, signers) for item in new}
+    added = [item for item in new if failures[item.digest] is None]
+    refused = [item for item in new if failures[item.digest] is not None]
+    digests = {item.digest for item in added}
+    return Ok(
+        Carried(
+            replace(bundle, withdrawn=bundle.withdrawn | digests),
+            tuple(map(describe_statement, added)),
+            tuple(
+                f"not carried: {describe_statement(item)}: {failures[item.digest]}"
+                for item in refused
+            ),
+        )
+    )
 
 
 async def change(
@@ -149,16 +202,20 @@
     if edited.is_error():
         return Error(edited.error)
     following = replace(edited.ok, version=accepted.bundle.version + 1)
-    carried = await carry_withdrawals(store, following)
+    carried = await carry_withdrawals(store, following, operator.signers)
     if carried.is_error():
         return Error((carried.error,))
-    failures = check_bundle(carried.ok)
+    following, notes = carried.ok.bundle, carried.ok.notes
+    failures = check_bundle(following)
     if failures:
         return Error(failures)
     proposal = publishing.propose(
-        accepted, carried.ok, operator.name, operator.key, uuid.uuid4().hex
+        accepted, following, operator.name, operator.key, uuid.uuid4().hex
     )
     if proposal.is_error():
         return Error((proposal.error,))
-    done = await accept(store, accepted, proposal.ok, action, operator.clock)
-    return done.map_error(lambda failure: (failure,))
+    done = await accept(store, accepted, proposal.ok, action, operator.clock, notes)
+    warnings = carried.ok.warnings
+    return done.map(
+        lambda found: replace(found, lines=(*found.lines, *warnings))
+    ).map_error(lambda failure: (failure,))
--- a/libraries/operations/shallotspindle_operations/fleet_commands.py
+++ b/libraries/operations/shallotspindle_operations/fleet_commands.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from cyclopts import App
 from expression import Result
 
@@ -17,7 +16,6 @@
 )
 from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.clock import SystemClock
 from shallotspindle_platform.interface import Store
 
 Answers = list[tuple[str, Result]]
@@ -154,8 +152,7 @@
     :param json: Print the result as JSON.
     """
 
-    async def run(connected: Store, private: Ed25519PrivateKey) -> Outcome:
-        operator = Operator(signer.signer, private, SystemClock())
+    async def run(connected: Store, operator: Operator) -> Outcome:
         done = await changing.change(
             connected,
             operator,
@@ -163,7 +160,7 @@
             lambda bundle: editing.drain(bundle, upstream, not undo),
         )
         if done.is_error():
-            return outcomes.fail_change(done.error)
+            return outcomes.fail(done.error)
         return outcomes.describe_change(done.ok)
 
     return outcomes.emit(options.run_signed(store, signer, run), json)
--- a/libraries/operations/shallotspindle_operations/key_commands.py
+++ b/libraries/operations/shallotspindle_operations/key_commands.py
@@ -3,7 +3,6 @@
 import secrets
 from pathlib import Path
 
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from cyclopts import App
 from expression import Error, Ok, Result
 
@@ -21,7 +20,6 @@
 )
 from shallotspindle_operations.changing import Failures, Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.clock import SystemClock
 from shallotspindle_platform.interface import Store
 from shallotspindle_settings import bundle as bundle_form
 from shallotspindle_settings.failures import SettingsFailure
@@ -59,11 +57,10 @@
         digest = digests.digest_key(bundle.salt, secret)
         return editing.give_key(bundle, team, digest)
 
-    async def run(connected: Store, private: Ed25519PrivateKey) -> Outcome:
-        operator = Operator(signer.signer, private, SystemClock())
+    async def run(connected: Store, operator: Operator) -> Outcome:
         done = await changing.change(connected, operator, "key given", edit)
         if done.is_error():
-            return outcomes.fail_change(done.error)
+            return outcomes.fail(done.error)
         lines = (
             f"bundle {done.ok.version} is accepted, audit record {done.ok.record}",
             f"key of {team}: {secret}",
@@ -137,7 +134,7 @@
     if done.is_ok():
         outcome = outcomes.describe_change(done.ok)
         return Outcome(Exit.DONE, (*lines, *outcome.lines), {**data, **outcome.data})
-    outcome = outcomes.fail_change(done.error)
+    outcome = outcomes.fail(done.error)
     if taken and outcome.exit in {Exit.FAILED, Exit.UNKNOWN}:
         notes = ("the key is withdrawn; no bundle carries it yet:", *outcome.lines)
         return Outcome(Exit.DONE, (*lines, *notes), {**data, "version": None})
@@ -177,12 +174,10 @@
     if found.is_error():
         return outcomes.emit(outcomes.fail(found.error, Exit.INVALID), json)
 
-    async def run(connected: Store, private: Ed25519PrivateKey) -> Outcome:
-        clock = SystemClock()
-        time = clock.now().isoformat(timespec="seconds")
-        unsigned = Withdrawal(found.ok, signer.signer, reason, time)
-        statement = withdrawals.sign(unsigned, private)
-        operator = Operator(signer.signer, private, clock)
+    async def run(connected: Store, operator: Operator) -> Outcome:
+        time = operator.clock.now().isoformat(timespec="seconds")
+        unsigned = Withdrawal(found.ok, operator.name, reason, time)
+        statement = withdrawals.sign(unsigned, operator.key)
         return await withdraw_everywhere(connected, operator, statement, instance)
 
     return outcomes.emit(options.run_signed(store, signer, run), json)
--- a/libraries/operations/shallotspindle_operations/main_test.py
+++ b/libraries/operations/shallotspindle_operations/main_test.py
@@ -3,9 +3,12 @@
 import pytest
 from syrupy.assertion import SnapshotAssertion
 
+from shallotspindle_bundles import withdrawals
+from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_operations import options
 from shallotspindle_operations.main import app
 from shallotspindle_platform.memory import MemoryStore
+from shallotspindle_settings import withdrawal
 
 COMMANDS = (
     "",
@@ -43,6 +46,15 @@
 }
 
 
+SETTINGS = {
+    "name": "entry-1",
+    "failure_domain": "a",
+    "store_url": "http://10.0.0.9:2379",
+    "instance_list_url": "http://10.0.0.9:8500/instances",
+    "fleet_secret": "ab" * 32,
+}
+
+
 class Shell:
     """Runs commands against a store in memory."""
 
@@ -117,6 +129,13 @@
         assert text.replace(str(shell.folder), "FOLDER") == snapshot
         assert not shell.store.reads
 
+    def test_withdrawn_key_does_not_come_back_with_an_old_file(self, shell):
+        # Guards against an old file under a new version that revives a key.
+        team = {**BUNDLE["teams"][0], "key_digests": ["ab" * 32]}
+        shell.publish({**BUNDLE, "withdrawn": ["ab" * 32]})
+        assert shell.publish({**BUNDLE, "version": 2, "teams": [team]})[0] == 2
+        assert shell.publish({**BUNDLE, "version": 2})[0] == 0
+
     def test_store_outage_is_a_failure(self, shell):
         shell.store.down = True
         assert shell.publish(BUNDLE)[0] == 1
@@ -127,6 +146,7 @@
         for key in list(shell.store._entries):
             if "/audit/" in key:
                 del shell.store._entries[key]
+        assert shell.run("audit", "verify", "--store", "memory")[0] == 1
         shell.publish({**BUNDLE, "version": 2})
         _, text = shell.run("audit", "show", "--store", "memory", "--json")
         found = json.loads(text)["records"]
@@ -160,6 +180,21 @@
         code, _ = shell.run("key", "withdraw", "--digest", "ab" * 32, *arguments)
         assert code == 1
 
+    def test_stored_withdrawal_is_carried_by_the_next_change(self, shell, snapshot):
+        # Guards against a withdrawal that is lost when all instances are replaced.
+        shell.publish(BUNDLE)
+        key = options.read_key(shell.folder / "astrid.key").ok
+        public = key.public_key().public_bytes_raw().hex()
+        settings = shell.write("entry.json", {**SETTINGS, "signers": {"hanne": public}})
+        for digest, person in ((b"w" * 32, "hanne"), (b"v" * 32, "mikkel")):
+            unsigned = Withdrawal(digest, person, "lost laptop", "now")
+            data = withdrawal.format_withdrawal(withdrawals.sign(unsigned, key))
+            shell.store.put(withdrawal.WITHDRAWAL_PREFIX + digest.hex(), data)
+        arguments = ("stock-2", "--store", "memory", *shell.person)
+        assert shell.run("drain", *arguments, "--settings", settings) == snapshot
+        shown = shell.run("bundle", "show", "--store", "memory", "--json")[1]
+        assert json.loads(shown)["withdrawn"] == 1
+
 
 class TestDrain:
     def test_drain_is_a_new_bundle(self, shell, snapshot: SnapshotAssertion):
--- a/libraries/operations/shallotspindle_operations/options.py
+++ b/libraries/operations/shallotspindle_operations/options.py
@@ -7,14 +7,21 @@
 from typing import Annotated
 
 import aiohttp
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
 from cyclopts import Parameter
 from expression import Error, Ok, Result
 
+from shallotspindle_core.failures import Failure
 from shallotspindle_operations import outcomes
+from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
+from shallotspindle_platform.clock import SystemClock
 from shallotspindle_platform.etcd import EtcdStore
 from shallotspindle_platform.interface import Store
+from shallotspindle_settings import daemon
 from shallotspindle_settings.failures import SettingsFailure
 
 Json = Annotated[bool, Parameter(name="--json", negative="")]
@@ -31,10 +38,13 @@
 
     :param signer: Name of the person who signs.
     :param key: File with the person's private key in hex.
+    :param settings: Settings file of an instance. Its public keys prove withdrawals
+        that were given while the store was away, so that the bundle carries them.
     """
 
     signer: str
     key: Path
+    settings: Path | None = None
 
 
 def read_key(path: Path) -> Result[Ed25519PrivateKey, SettingsFailure]:
@@ -59,13 +69,29 @@
     return asyncio.run(run())
 
 
-def run_signed(
-    url: str,
-    signer: Signer,
-    action: Callable[[Store, Ed25519PrivateKey], Awaitable[Outcome]],
-) -> Outcome:
-    """Run an action with a connection to the store and a person's key."""
+def load_operator(signer: Signer) -> Result[Operator, tuple[Failure, ...]]:
+    """Read the files of the person who makes a change."""
     key = read_key(signer.key)
     if key.is_error():
-        return outcomes.fail((key.error,), Exit.INVALID)
-    return run_with_store(url, lambda store: action(store, key.ok))
+        return Error((key.error,))
+    signers = {}
+    if signer.settings is not None:
+        loaded = daemon.load_settings(signer.settings)
+        if loaded.is_error():
+            return Error(loaded.error)
+        signers = loaded.ok.signers
+    public = {
+        name: Ed25519PublicKey.from_public_bytes(bytes.fromhex(text))
+        for name, text in signers.items()
+    }
+    return Ok(Operator(signer.signer, key.ok, SystemClock(), public))
+
+
+def run_signed(
+    url: str, signer: Signer, action: Callable[[Store, Operator], Awaitable[Outcome]]
+) -> Outcome:
+    """Run an action with a connection to the store in a person's name."""
+    operator = load_operator(signer)
+    if operator.is_error():
+        return outcomes.fail(operator.error, Exit.INVALID)
+    return run_with_store(url, lambda store: action(store, operator.ok))
--- a/libraries/operations/shallotspindle_operations/outcomes.py
+++ b/libraries/operations/shallotspindle_operations/outcomes.py
@@ -8,7 +8,11 @@
 
 from shallotspindle_core.failures import Failure
 from shallotspindle_operations.changing import Done, InvalidChange
-from shallotspindle_operations.publishing import VersionConflict
+from shallotspindle_operations.publishing import (
+    InvalidManifest,
+    RevivedKey,
+    VersionConflict,
+)
 from shallotspindle_platform.interface import Conflict, OutcomeUnknown
 
 
@@ -42,6 +46,8 @@
             return Exit.CONFLICT
         case OutcomeUnknown():
             return Exit.UNKNOWN
+        case RevivedKey() | InvalidManifest() | InvalidChange():
+            return Exit.INVALID
     return Exit.FAILED
 
 
@@ -85,9 +91,3 @@
         "changes": list(done.lines),
     }
     return Outcome(Exit.DONE, lines, data)
-
-
-def fail_change(failures: tuple[Failure, ...]) -> Outcome:
-    """Return the outcome of a change that was not made."""
-    invalid = isinstance(failures[0], InvalidChange)
-    return fail(failures, Exit.INVALID if invalid else None)
--- a/libraries/operations/shallotspindle_operations/publishing.py
+++ b/libraries/operations/shallotspindle_operations/publishing.py
@@ -15,12 +15,19 @@
 from shallotspindle_bundles.manifests import Manifest
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.failures import Failure
-from shallotspindle_platform.interface import Conflict, OutcomeUnknown, Store
+from shallotspindle_platform.interface import (
+    Conflict,
+    OutcomeUnknown,
+    Store,
+    StoreFailure,
+)
 from shallotspindle_settings import chunks, manifest
 from shallotspindle_settings import deltas as delta_forms
 from shallotspindle_settings.chunks import Index
 
 EMPTY = Bundle(0, b"")
+# Writing a chunk again has no second effect, so lost answers are tried again.
+CHUNK_ATTEMPTS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +40,11 @@
     """A signed manifest does not belong to the bundle."""
 
 
+@dataclass(frozen=True, slots=True)
+class RevivedKey(Failure):
+    """A bundle would let a withdrawn key work again."""
+
+
 @dataclass(frozen=True, slots=True)
 class Accepted:
     """The accepted bundle as the store has it.
@@ -122,13 +134,25 @@
     return Ok((assembly.build(), index.ok))
 
 
+def check_revival(before: Bundle, after: Bundle) -> RevivedKey | None:
+    """Check that no withdrawn key works again, as after an edit of an old file."""
+    freed = before.withdrawn - after.withdrawn
+    if not freed:
+        return None
+    for team in after.teams.values():
+        if freed.intersection(team.key_digests):
+            source = f"bundle {after.version}"
+            return RevivedKey(source, "a withdrawn key would work again", team.name)
+    return None
+
+
 def propose(
     accepted: Accepted,
     bundle: Bundle,
     signer: str,
     key: Ed25519PrivateKey,
     attempt: str,
-) -> Result[Proposal, VersionConflict]:
+) -> Result[Proposal, VersionConflict | RevivedKey]:
     """Sign a bundle that follows the accepted one.
 
     :param attempt: random text that marks this write.
@@ -142,6 +166,9 @@
                 f"accepted is version {parent}",
             )
         )
+    revived = check_revival(accepted.bundle, bundle)
+    if revived is not None:
+        return Error(revived)
     content = encode(accepted, bundle)
     unsigned = Manifest(bundle.version, parent, signer, attempt, (content.name,))
     signed = manifests.sign(unsigned, key)
@@ -204,6 +231,9 @@
         item = f"accepted is version {accepted.bundle.version}"
         message = "it does not follow the accepted bundle"
         return Error(VersionConflict(source, message, item))
+    revived = check_revival(accepted.bundle, bundle)
+    if revived is not None:
+        return Error(revived)
     content = encode(accepted, bundle)
     if (signed.version, signed.chunks) != (bundle.version, (content.name,)):
         return Error(InvalidManifest(source, "the manifest is of another bundle"))
@@ -213,12 +243,14 @@
 async def write_chunk(store: Store, chunk: bytes) -> Failure | None:
     """Store a chunk under its digest; one that is there already is the same."""
     key = manifest.CHUNK_PREFIX + manifests.digest_chunk(chunk)
-    written = await store.replace(key, chunk, 0)
-    if written.is_error() and isinstance(written.error, OutcomeUnknown):
+    for _ in range(CHUNK_ATTEMPTS):
         written = await store.replace(key, chunk, 0)
-    if written.is_ok() or isinstance(written.error, Conflict):
-        return None
-    return written.error
+        if written.is_ok() or isinstance(written.error, Conflict):
+            return None
+        if not isinstance(written.error, OutcomeUnknown):
+            return written.error
+    # Nothing is accepted before the manifest is written.
+    return StoreFailure(key, "the chunk was not written", str(written.error))
 
 
 async def write_delta(store: Store, proposal: Proposal) -> bytes:
@@ -265,9 +297,6 @@
     """
     for _, chunk in proposal.chunks:
         failure = await write_chunk(store, chunk)
-        if isinstance(failure, OutcomeUnknown):
-            # Nothing is accepted before the manifest is written.
-            return Error(Failure(failure.source, "a chunk was not written"))
         if failure is not None:
             return Error(failure)
     overwritten = await write_delta(store, proposal)
--- a/libraries/platform/shallotspindle_platform/etcd.py
+++ b/libraries/platform/shallotspindle_platform/etcd.py
@@ -66,6 +66,13 @@
     return StoreFailure(source, "the call was refused", str(status))
 
 
+def drop_doubt(failure: StoreFailure) -> StoreFailure:
+    """Return the failure of a call that writes nothing, whatever became of it."""
+    if isinstance(failure, OutcomeUnknown):
+        return StoreFailure(failure.source, failure.message, failure.item)
+    return failure
+
+
 def read(
     source: str,
     answer: Result[dict[str, Any], StoreFailure],
@@ -122,7 +129,9 @@
 
     async def get(self, key: str) -> Result[Entry, StoreFailure]:
         answer = await self._call("/v3/kv/range", {"key": encode_text(key.encode())})
-        return read(f"store {key}", answer, lambda found: self._take_first(key, found))
+        return read(
+            f"store {key}", answer, lambda found: self._take_first(key, found)
+        ).map_error(drop_doubt)
 
     @staticmethod
     def _take_first(key: str, answer: dict[str, Any]) -> Entry:
@@ -139,7 +148,7 @@
             f"store {prefix}",
             answer,
             lambda found: tuple(map(decode_entry, found.get("kvs", []))),
-        )
+        ).map_error(drop_doubt)
 
     async def replace(
         self, key: str, data: bytes, revision: int, lease: int = 0
--- a/libraries/standins/shallotspindle_standins/store_test.py
+++ b/libraries/standins/shallotspindle_standins/store_test.py
@@ -78,7 +78,10 @@
     async def test_down_store_is_a_failure_and_recovers(self, pair):
         standin, store = pair
         standin.faults.down = True
-        assert (await store.get("k")).is_error()
+        failed = await store.get("k")
+        assert failed.is_error()
+        # Guards against a failed read that is reported as a write in doubt.
+        assert not isinstance(failed.error, OutcomeUnknown)
         standin.faults.down = False
         assert (await store.get("k")).is_ok()
 
