--- a/libraries/entry/shallotspindle_entry/bundle_following.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following.py
@@ -23,6 +23,8 @@
 from shallotspindle_settings import manifest, withdrawal
 
 RETRY_SECONDS = 1.0
+# Time after which an instance looks whether it is now one of those that watch.
+REVIEW_SECONDS = 5.0
 
 
 class Keeper(Protocol):
@@ -160,7 +162,9 @@
         while True:
             if versions.is_watcher(self._own, self._members()):
                 await self.watch()
-            await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(RETRY_SECONDS)
+            else:
+                await asyncio.sleep(REVIEW_SECONDS)
 
     async def watch(self) -> None:
         """Wake the poll at each change until the watch fails."""
--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -195,10 +195,13 @@
         if loaded.configuration.bundle.version > self.version:
             carried = loaded.configuration.bundle.withdrawn
             self._withdrawals = withdrawals.drop_carried(self._withdrawals, carried)
+            started = self.version == 0
             self._keep_deltas(loaded)
             self._loaded = replace(loaded, deltas=())
             logging.info("bundle %d was loaded", self.version)
-            self._spread_bundle()
+            if not started:
+                # The first bundle of a new instance is no news to its peers.
+                self._spread_bundle()
         if ready:
             self._become_ready()
         self._refresh()
--- a/libraries/operations/shallotspindle_operations/key_commands.py
+++ b/libraries/operations/shallotspindle_operations/key_commands.py
@@ -18,9 +18,10 @@
     options,
     outcomes,
 )
+from shallotspindle_operations.auditing import AuditFailure
 from shallotspindle_operations.changing import Failures, Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.interface import Store
+from shallotspindle_platform.interface import OutcomeUnknown, Store
 from shallotspindle_settings import bundle as bundle_form
 from shallotspindle_settings.failures import SettingsFailure
 from shallotspindle_settings.withdrawal import format_withdrawal
@@ -60,7 +61,7 @@
     async def run(connected: Store, operator: Operator) -> Outcome:
         done = await changing.change(connected, operator, "key given", edit)
         if done.is_error():
-            return outcomes.fail(done.error)
+            return describe_doubt(outcomes.fail(done.error), done.error[0], secret)
         lines = (
             f"bundle {done.ok.version} is accepted, audit record {done.ok.record}",
             f"key of {team}: {secret}",
@@ -71,6 +72,15 @@
     return outcomes.emit(options.run_signed(store, signer, run), json)
 
 
+def describe_doubt(outcome: Outcome, failure: Failure, secret: str) -> Outcome:
+    """Add the key to an outcome after which it may work, since it is shown once."""
+    if not isinstance(failure, OutcomeUnknown | AuditFailure):
+        return outcome
+    line = f"the key, which works if the bundle is accepted: {secret}"
+    data = {**outcome.data, "key": secret}
+    return Outcome(outcome.exit, (*outcome.lines, line), data)
+
+
 def find_digest(
     digest: str | None, secret: Path | None, bundle: Path | None
 ) -> Result[bytes, tuple[Failure, ...]]:
--- a/libraries/operations/shallotspindle_operations/main_test.py
+++ b/libraries/operations/shallotspindle_operations/main_test.py
@@ -1,12 +1,14 @@
 import json
 
 import pytest
+from expression import Error
 from syrupy.assertion import SnapshotAssertion
 
 from shallotspindle_bundles import withdrawals
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_operations import options
 from shallotspindle_operations.main import app
+from shallotspindle_platform.interface import StoreFailure
 from shallotspindle_platform.memory import MemoryStore
 from shallotspindle_settings import withdrawal
 
@@ -172,6 +174,23 @@
         assert text.startswith("3 records are unchanged, head ")
         assert given["key"] not in str(shell.store._entries)
 
+    def test_key_of_a_change_in_doubt_is_shown(self, shell):
+        # Guards against a key that works and that nobody has.
+        shell.publish(BUNDLE)
+        fill = shell.store.replace
+
+        async def lose_record(key, data, revision, lease=0):
+            if "/audit/" in key:
+                return Error(StoreFailure(key, "no connection"))
+            return await fill(key, data, revision, lease)
+
+        shell.store.replace = lose_record
+        arguments = ("dealer", "--store", "memory", *shell.person, "--json")
+        code, text = shell.run("key", "give", *arguments)
+        assert code == 1
+        assert json.loads(text)["failures"][0]["type"] == "AuditFailure"
+        assert json.loads(text)["key"]
+
     def test_withdrawal_without_store_and_instances_fails(self, shell):
         # Guards against a withdrawal that is reported as done and is nowhere.
         shell.publish(BUNDLE)
