--- a/demo/demo.py
+++ b/demo/demo.py
@@ -104,10 +104,7 @@
 
     async def show_withdrawal(self) -> None:
         """A withdrawn key stops working at every instance, on open connections."""
-        await self.fleet.operate(
-            *("key", "withdraw", "--digest", sizes.digest_key("key-team-3").hex()),
-            *("--reason", "lost", "--instance", self.fleet.entries[0].administrator),
-        )
+        await self.fleet.withdraw("key-team-3", self.fleet.entries[0])
         started = time.monotonic()
         refused: set[int] = set()
         while len(refused) < INSTANCES and time.monotonic() - started < WAIT_SECONDS:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -122,10 +122,11 @@
         path.write_text(json.dumps(bundle))
         await self.operate("publish", str(path))
 
-    async def operate(self, *arguments: str) -> None:
+    async def operate(self, *arguments: str, fails: bool = False) -> None:
         """Run the operators' command with the store and the signer's key.
 
-        :raises RuntimeError: if the command fails.
+        :param fails: whether a failure is expected.
+        :raises RuntimeError: if the command fails unexpectedly.
         """
         key = self.folder / "signing-key"
         key.write_text(self._key.private_bytes_raw().hex())
@@ -137,9 +138,42 @@
             stdout=asyncio.subprocess.PIPE,
         )
         output, _ = await process.communicate()
-        if process.returncode:
+        if bool(process.returncode) != fails:
             raise RuntimeError(f"{arguments}: {output.decode()}")
 
+    async def withdraw(self, key: str, entry: Entry, fails: bool = False) -> None:
+        """Withdraw a key with the help of one instance.
+
+        :param fails: whether the store is away, so that no bundle can carry it.
+        """
+        digest = sizes.digest_key(key).hex()
+        arguments = ("--reason", "lost", "--instance", entry.administrator)
+        await self.operate(
+            "key", "withdraw", "--digest", digest, *arguments, fails=fails
+        )
+
+    async def restart(self, entry: Entry) -> None:
+        """Stop a daemon as planned and start its replacement on the same ports."""
+        entry.process.terminate()
+        await entry.process.wait()
+        await self.remove(entry)
+        await self.replace_entry(entry)
+
+    async def forget(self, entry: Entry) -> None:
+        """Take an ended daemon out of the list and out of the fleet."""
+        await self.remove(entry)
+        self.entries.remove(entry)
+
+    async def kill(self) -> None:
+        """End all processes at once."""
+        running = [entry.process for entry in self.entries]
+        if self.standins is not None:
+            running.append(self.standins)
+        for process in running:
+            if process.returncode is None:
+                process.kill()
+        await asyncio.gather(*(process.wait() for process in running))
+
     async def await_partitions(self, count: int) -> None:
         """Wait until the daemons hold all partitions together."""
         while True:
