--- a/libraries/health/shallotspindle_health/detection.py
+++ b/libraries/health/shallotspindle_health/detection.py
@@ -71,6 +71,7 @@
     ejections: int = 0
     next_trial: float = 0.0
     good_trials: int = 0
+    trial_sent: bool = False
     leaving: bool = False
 
 
@@ -109,6 +110,8 @@
         self._standings: dict[str, Standing] = {}
         self._floor = 0
         self.doubtful = False
+        # Nothing to re-evaluate until a bad sample or a report arrives.
+        self.settled = False
 
     def update(self, names: frozenset[str], floor_count: int, now: float) -> None:
         """Take the upstreams and the floor of the bundle in force.
@@ -147,7 +150,9 @@
             return
         bad = self._statistics.add(name, outcome, seconds, load)
         if standing.state is State.EJECTED:
-            if outcome not in NEUTRAL:
+            # Late answers of requests sent before the ejection are no trials.
+            if standing.trial_sent and outcome not in NEUTRAL:
+                standing.trial_sent = False
                 self._judge_trial(name, standing, bad, now)
         elif bad or standing.state is not State.ACTIVE:
             self.evaluate(now)
@@ -167,6 +172,7 @@
             due = standing.state is State.EJECTED and standing.own
             if due and now >= standing.next_trial:
                 standing.next_trial = now + self._draw_interval()
+                standing.trial_sent = True
                 return name
         return None
 
@@ -214,6 +220,9 @@
         )
         for name, standing in self._standings.items():
             self._advance(name, standing, wanted, chosen, now)
+        quiet = (State.ACTIVE, State.DRAINING)
+        states = (item.state for item in self._standings.values())
+        self.settled = not claims and all(state in quiet for state in states)
 
     def _find_wanted(
         self, claims: Mapping[str, list[tuple[str, Suspicion]]]
@@ -222,8 +231,9 @@
         for name, standing in self._standings.items():
             score = self._find_score(name, standing)
             suspects = score >= self._thresholds.suspect and not self.doubtful
-            domains = [domain for domain, _ in claims.get(name, ())]
-            agreed = self._board.is_agreed(domains, suspects)
+            agreed = self._board.is_agreed(
+                claims.get(name, ()), score if suspects else None
+            )
             own = score >= 1.0 and not self.doubtful
             if agreed or own:
                 wanted[name] = agreed
@@ -296,6 +306,7 @@
         standing.reason = self._statistics.explain(name) if standing.own else "reports"
         standing.ejections += 1
         standing.good_trials = 0
+        standing.trial_sent = False
         self._delay_trials(standing, now)
         self._move(standing, State.EJECTED, now)
 
--- a/libraries/health/shallotspindle_health/overview.py
+++ b/libraries/health/shallotspindle_health/overview.py
@@ -102,7 +102,8 @@
         self.doubtful = self._board.doubts_itself(set(held), now)
         for health in self._services.values():
             health.doubtful = self.doubtful
-            health.evaluate(now)
+            if not health.settled:
+                health.evaluate(now)
         return self._build_report(now)
 
     def describe(self, now: float) -> Mapping[str, tuple[Description, ...]]:
@@ -120,6 +121,7 @@
         return {
             (item.service, item.upstream): item.ejected
             for health in self._services.values()
+            if not health.settled
             for item in health.list_suspicions()
         }
 
@@ -131,6 +133,7 @@
         suspicions = tuple(
             item
             for health in self._services.values()
+            if not health.settled
             for item in health.list_suspicions()
         )
         self._told, self._told_at = held, now
--- a/libraries/health/shallotspindle_health/samples.py
+++ b/libraries/health/shallotspindle_health/samples.py
@@ -9,6 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
+from statistics import median_low
 
 
 class Outcome(StrEnum):
@@ -30,6 +31,8 @@
 # Bounds what an upstream can excuse by a wrong load.
 MOST_LOAD = 4.0
 REFRESH_SAMPLES = 16
+# A failure rate has to follow a shared cause faster than the sums grow.
+RATE_STEP = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +41,8 @@
 
     :param slowness: a latency counts as bad as far as it exceeds this multiple of
         the other upstreams' latencies.
-    :param rank_drift: mean rank that is tolerated; 0.5 is the most that an upstream
-        like the others can have.
+    :param rank_drift: mean rank that is tolerated; an upstream like the others has
+        less than 0.5, and less the more alike the kinds of request are.
     :param failure_drift: failure rate that is tolerated beyond that of the others.
     :param rank_limit: sum of ranks at which an instance ejects on its own.
     :param failure_limit: sum of failures at which an instance ejects on its own.
@@ -47,12 +50,12 @@
     :param pool: samples of other upstreams that a rank needs.
     """
 
-    slowness: float = 2.0
-    rank_drift: float = 0.55
+    slowness: float = 3.0
+    rank_drift: float = 0.45
     failure_drift: float = 0.15
-    rank_limit: float = 4.0
+    rank_limit: float = 3.5
     failure_limit: float = 3.0
-    suspect: float = 0.5
+    suspect: float = 0.35
     pool: int = 12
 
 
@@ -113,17 +116,23 @@
     def _add_failure(
         self, name: str, counters: Counters, failed: bool, outcome: Outcome
     ) -> None:
-        others = [
-            item.failure_rate for key, item in self._counters.items() if key != name
-        ]
-        # Twice the others' rate: when all fail, the cause is not this upstream.
-        expected = 2 * sum(others) / len(others) if others else 0.0
-        drift = min(0.95, self._thresholds.failure_drift + expected)
-        counters.failures = max(0.0, counters.failures + failed - drift)
-        counters.failure_rate += 0.1 * (failed - counters.failure_rate)
+        counters.failures = max(
+            0.0, counters.failures + failed - self._find_drift(name, failed)
+        )
+        counters.failure_rate += RATE_STEP * (failed - counters.failure_rate)
         if failed:
             counters.last_failure = outcome.value
 
+    def _find_drift(self, name: str, failed: bool) -> float:
+        drift = self._thresholds.failure_drift
+        rates = [
+            item.failure_rate for key, item in self._counters.items() if key != name
+        ]
+        if not failed or not rates:
+            return drift
+        # Twice the median of the others: when most fail, the cause is a shared one.
+        return min(1.0, drift + 2 * median_low(rates))
+
     def _rank(self, counters: Counters, seconds: float) -> float:
         self._refresh()
         scaled = seconds / self._thresholds.slowness
--- a/libraries/health/shallotspindle_health/suspicions.py
+++ b/libraries/health/shallotspindle_health/suspicions.py
@@ -1,6 +1,7 @@
 """Suspicions of other instances, each with a limited life."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from shallotspindle_health.messages import Suspicion, SuspicionReport
@@ -10,6 +11,8 @@
 # One instance may be wrong or lie, and one failure domain may be cut off.
 QUORUM_REPORTERS = 3
 QUORUM_DOMAINS = 2
+# Each instance adds at most 1, so that a liar alone cannot reach it.
+QUORUM_SCORE = 1.5
 # Enough reporters for an agreement after some expire; more only cost traffic.
 REPORTERS_RELAYED = 6
 LONE_SUSPICIONS_TOLERATED = 2
@@ -84,14 +87,21 @@
                     found.setdefault(item.upstream, []).append((report.domain, item))
         return found
 
-    def is_agreed(self, domains: list[str], own_suspects: bool) -> bool:
-        """Return whether reports suffice without evidence of this instance.
+    def is_agreed(
+        self, claims: Sequence[tuple[str, Suspicion]], own_score: float | None
+    ) -> bool:
+        """Return whether several instances agree and their evidence adds up.
 
-        :param domains: failure domains of the reporters, one for each.
-        :param own_suspects: whether this instance suspects the upstream too.
+        :param claims: failure domains and suspicions of other instances.
+        :param own_score: evidence of this instance, or None if it suspects nothing.
         """
-        voices = [*domains, self._domain] if own_suspects else domains
-        return len(voices) >= self._quorum and len(set(voices)) >= QUORUM_DOMAINS
+        domains = [domain for domain, _ in claims]
+        scores = [min(1.0, item.score) for _, item in claims]
+        if own_score is not None:
+            domains.append(self._domain)
+            scores.append(min(1.0, own_score))
+        several = len(domains) >= self._quorum and len(set(domains)) >= QUORUM_DOMAINS
+        return several and sum(scores) >= QUORUM_SCORE
 
     def doubts_itself(self, own: set[tuple[str, str]], now: float) -> bool:
         """Return whether this instance suspects far more than the others.
--- /dev/null
+++ b/libraries/retries/shallotspindle_retries/eligibility_test.py
@@ -0,0 +1,58 @@
+from shallotspindle_retries import backoff, eligibility
+from shallotspindle_retries.budget import Budget
+from shallotspindle_retries.eligibility import Attempt
+
+NOT_RUN = {"request-outcome": "not-run"}
+
+
+class Cycle:
+    """Steps through the unit interval; decision libraries import no random source."""
+
+    def __init__(self):
+        self.step = 0
+
+    def random(self):
+        self.step += 37
+        return self.step % 100 / 100
+
+    def randrange(self, stop):
+        return int(self.random() * stop)
+
+
+class TestMayRetry:
+    def test_booking_is_sent_again_only_if_it_did_not_run(self):
+        # Guards against a booking that runs twice.
+        assert eligibility.may_retry(Attempt(False), False)
+        assert eligibility.may_retry(Attempt(True, 503, NOT_RUN), False)
+        assert not eligibility.may_retry(Attempt(True), False)
+        assert not eligibility.may_retry(Attempt(True, 503), False)
+        assert not eligibility.may_retry(Attempt(True, 500, NOT_RUN), False)
+
+    def test_idempotent_request_is_sent_again_after_a_failure_only(self):
+        assert eligibility.may_retry(Attempt(True), True)
+        assert eligibility.may_retry(Attempt(True, 502), True)
+        assert not eligibility.may_retry(Attempt(True, 404), True)
+        assert not eligibility.may_retry(Attempt(True, answered=True), True)
+        assert not eligibility.may_retry(Attempt(False, resendable=False), True)
+
+
+class TestAttempts:
+    def test_attempts_stay_bounded_when_all_of_a_service_fails(self):
+        # Guards against retries that multiply the load of a failing service.
+        budget, random, attempts = Budget(), Cycle(), 0
+        for number in range(5000):
+            now = number / 100
+            budget.count_request(now)
+            made = 1
+            while backoff.find_delay(made, now, now + 5, random) is not None:
+                if not budget.take(now):
+                    break
+                made += 1
+            attempts += made
+        assert attempts / 5000 <= 1.11
+
+    def test_no_delay_passes_the_deadline(self):
+        random = Cycle()
+        delays = [backoff.find_delay(1, 0.0, 0.01, random) for _ in range(200)]
+        assert None in delays
+        assert all(delay is None or delay < 0.01 for delay in delays)
--- a/libraries/routing/shallotspindle_routing/dispatch.py
+++ b/libraries/routing/shallotspindle_routing/dispatch.py
@@ -21,6 +21,8 @@
 # A shed answer of an upstream with two slots is out of date after one request.
 AVOID_SECONDS = 0.05
 BUSY_LOAD = 1.0
+# Requests sent regardless of the domain, so that each domain sees every upstream.
+EXPLORED_PART = 0.2
 
 
 class Health(Protocol):
@@ -210,6 +212,8 @@
         if not options:
             return None
         near = [option for option in options if self._is_near(option)]
+        if self._random.random() < EXPLORED_PART:
+            near = []
         chosen = self._policy.pick(near or options, self._random)
         if near and self._is_busy(chosen) and len(near) < len(options):
             chosen = self._policy.pick(options, self._random)
--- a/libraries/routing/shallotspindle_routing/subsets.py
+++ b/libraries/routing/shallotspindle_routing/subsets.py
@@ -2,11 +2,12 @@
 
 The number of connections to an upstream stays below its limit: the expected number
 of instances that choose an upstream is kept five standard deviations below what the
-limit carries. Half of the room is for instances of the upstream's failure domain.
+limit carries. Half of the room is for instances of the upstream's failure domain,
+the other half for the rest.
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 
 from shallotspindle_bundles.records import Upstream
 from shallotspindle_core import hashing
@@ -57,13 +58,34 @@
     degree = find_mean_degree(limit, each) / 2
     near = [item.name for item in upstreams if item.domain == domain]
     local = count_choices(len(near), max(1, instances.get(domain, 0)), degree)
-    anywhere = count_choices(len(upstreams), total, degree)
-    names = [item.name for item in upstreams]
-    # At least one upstream is chosen even when the limit is too small for that.
-    spread = hashing.rank_rendezvous(f"any/{incarnation}", names)[: max(1, anywhere)]
+    far = [item.name for item in upstreams if item.domain != domain]
+    remote = count_choices(len(far), total, degree)
+    if local + remote == 0:
+        # One upstream is chosen even when the limit is too small for all instances.
+        remote = 1
     return frozenset(
         [
             *hashing.rank_rendezvous(f"near/{incarnation}", near)[:local],
-            *spread,
+            *hashing.rank_rendezvous(f"far/{incarnation}", far)[:remote],
         ]
     )
+
+
+def extend_subset(
+    incarnation: str,
+    subset: frozenset[UpstreamName],
+    upstreams: Sequence[Upstream],
+    usable: Set[str],
+    least: int,
+) -> frozenset[UpstreamName]:
+    """Add upstreams until enough of the subset are usable.
+
+    :param usable: upstreams that may get work.
+    :param least: number of usable upstreams to reach, if there are as many.
+    """
+    missing = least - len(subset & usable)
+    if missing <= 0:
+        return subset
+    names = [item.name for item in upstreams if item.name in usable - subset]
+    ranked = hashing.rank_rendezvous(f"far/{incarnation}", names)
+    return subset | frozenset(ranked[:missing])
