Lower the thresholds of slowness and ignore it under overload

Cause: the time to detect a slow upstream was 7.5 to 21.25 s, since a suspected one got half of the work and the sum of ranks needed many samples; lower thresholds alone ejected healthy upstreams when a team exceeded its rate. Change: a suspected upstream keeps its work, an ejection needs a sum of ranks of 2.5, a suspicion 0.3, an agreement 1.3; no latency counts while the median load of the other upstreams is above 1.25.

--- a/libraries/health/shallotspindle_health/detection.py
+++ b/libraries/health/shallotspindle_health/detection.py
@@ -50,7 +50,8 @@
     forgiven: float = 120.0
 
 
-SUSPECT_WEIGHT = 0.5
+# Less work for a suspect only delays the evidence that ejects or clears it.
+SUSPECT_WEIGHT = 1.0
 KEPT_WEIGHT = 0.1
 RAMP_START_WEIGHT = 0.1
 
--- a/libraries/health/shallotspindle_health/samples.py
+++ b/libraries/health/shallotspindle_health/samples.py
@@ -33,6 +33,9 @@
 REFRESH_SAMPLES = 16
 # A failure rate has to follow a shared cause faster than the sums grow.
 RATE_STEP = 0.3
+LOAD_STEP = 0.3
+# Median load of the other upstreams above which slowness says nothing of one.
+OVERLOAD = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +56,9 @@
     slowness: float = 3.0
     rank_drift: float = 0.45
     failure_drift: float = 0.15
-    rank_limit: float = 3.5
+    rank_limit: float = 2.5
     failure_limit: float = 3.0
-    suspect: float = 0.35
+    suspect: float = 0.3
     pool: int = 12
 
 
@@ -66,6 +69,7 @@
     failures: float = 0.0
     ranks: float = 0.0
     failure_rate: float = 0.0
+    load: float = 0.0
     shed: int = 0
     last_failure: str = ""
     latencies: deque[float] = field(
@@ -106,6 +110,9 @@
         self._add_failure(name, counters, failed, outcome)
         if failed and outcome is not Outcome.TIMED_OUT:
             return True
+        counters.load += LOAD_STEP * ((load or 0.0) - counters.load)
+        if self._is_overloaded(name):
+            return failed
         seconds /= min(MOST_LOAD, max(1.0, load or 0.0))
         rank = self._rank(counters, seconds)
         drift = self._thresholds.rank_drift
@@ -133,6 +140,10 @@
         # Twice the median of the others: when most fail, the cause is a shared one.
         return min(1.0, drift + 2 * median_low(rates))
 
+    def _is_overloaded(self, name: str) -> bool:
+        loads = [item.load for key, item in self._counters.items() if key != name]
+        return bool(loads) and median_low(loads) > OVERLOAD
+
     def _rank(self, counters: Counters, seconds: float) -> float:
         self._refresh()
         scaled = seconds / self._thresholds.slowness
--- a/libraries/health/shallotspindle_health/suspicions.py
+++ b/libraries/health/shallotspindle_health/suspicions.py
@@ -12,7 +12,7 @@
 QUORUM_REPORTERS = 3
 QUORUM_DOMAINS = 2
 # Each instance adds at most 1, so that a liar alone cannot reach it.
-QUORUM_SCORE = 1.5
+QUORUM_SCORE = 1.3
 # Enough reporters for an agreement after some expire; more only cost traffic.
 REPORTERS_RELAYED = 6
 LONE_SUSPICIONS_TOLERATED = 2
