Reach deep states in the state machine of the fleet

Peers that missed a push of new holders learnt them only from the table.

Change: the state machine starts with held partitions and bundles the steps that follow each other in the daemon. Instances push new holders on. Offers that the table does not show within 60 s are forgotten, so that they do not keep the successor polling the table.

--- a/libraries/entry/shallotspindle_entry/claims_test.py
+++ b/libraries/entry/shallotspindle_entry/claims_test.py
@@ -55,11 +55,9 @@
     async def test_key_sent_to_all_instances_at_once_is_granted_to_one(self):
         async with start_claims() as fleet:
             states = await asyncio.gather(*(claim(fleet, n) for n in range(3)))
-            assert sorted(states) == ["granted", "in-progress", "in-progress"] or (
-                # The runner may not have noted its grant yet.
-                states.count(ClaimState.GRANTED) == 1
-                and set(states) <= {"granted", "in-progress", "unknown"}
-            )
+            assert states.count(ClaimState.GRANTED) == 1
+            # The runner may not have noted its grant when it is asked for the answer.
+            assert set(states) <= {"granted", "in-progress", "unknown"}
 
     async def test_answer_is_replayed_to_other_instances(self):
         async with start_claims() as fleet:
--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -167,7 +167,8 @@
         entry = self._view.get(partition)
         if entry is None or entry.holder == self.me.incarnation:
             return None
-        self.learn(self.link.list_peers())
+        if entry.holder not in self._known:
+            self.learn(self.link.list_peers())
         return self._known.get(entry.holder)
 
     def learn(self, instances: Iterable[Instance]) -> None:
@@ -226,8 +227,7 @@
             case PeerMessage(_, HandOver() as received):
                 return self._receive(received, now)
             case PeerMessage(_, Moved(entries)):
-                for partition, holder, epoch in entries:
-                    self._note(partition, Entry(holder, epoch))
+                self._learn_moves(entries)
         return None
 
     async def read_table(self) -> Table | None:
@@ -322,10 +322,22 @@
             self._note(partition, entry)
         self._update(holdings.see_table(self.rights, table, now))
 
-    def _note(self, partition: int, entry: Entry) -> None:
+    def _learn_moves(self, entries: tuple[tuple[int, Incarnation, int], ...]) -> None:
+        """Push on what is new, so that it reaches every instance in a few rounds."""
+        news = {
+            partition: Entry(holder, epoch)
+            for partition, holder, epoch in entries
+            if self._note(partition, Entry(holder, epoch))
+        }
+        if news:
+            self.announce(news)
+
+    def _note(self, partition: int, entry: Entry) -> bool:
         known = self._view.get(partition)
-        if known is None or known.epoch < entry.epoch:
-            self._view[partition] = entry
+        if known is not None and known.epoch >= entry.epoch:
+            return False
+        self._view[partition] = entry
+        return True
 
     def _answer_offer(
         self, offered: tuple[tuple[int, int], ...], now: float
--- a/libraries/entry/shallotspindle_entry/ownership_test.py
+++ b/libraries/entry/shallotspindle_entry/ownership_test.py
@@ -183,6 +183,27 @@
             await fleet.pass_time(6)
             assert fleet.count_acting() == [1] * PARTITION_COUNT
 
+    async def test_reviews_at_the_same_time_leave_one_holder(self):
+        async with start_fleet(3, rounds=0) as fleet:
+            tasks = fleet.tasks.values()
+            for _ in range(6):
+                fleet.clock.advance(15)
+                await asyncio.gather(*(task.renew() for task in tasks))
+                await asyncio.gather(*(task.review() for task in tasks))
+            assert fleet.count_acting() == [1] * PARTITION_COUNT
+
+
+class TestSession:
+    async def test_record_that_vanished_is_written_anew(self):
+        # Guards against an instance that cannot renew once its lease has expired.
+        async with start_fleet(1, rounds=1) as fleet:
+            task = fleet.tasks[fleet.members[0]]
+            counter = task.rights.session.counter
+            del fleet.store.values[records.name_session(task.me.incarnation)]
+            assert not await task.renew()
+            assert await task.renew()
+            assert task.rights.session.counter == counter + 1
+
 
 class TestPlannedStop:
     async def test_hands_all_over_through_the_store(self):
--- a/libraries/ownership/shallotspindle_ownership/holdings.py
+++ b/libraries/ownership/shallotspindle_ownership/holdings.py
@@ -18,6 +18,9 @@
 
 # Longest wait for the state of a partition that the table already gives.
 STATE_WAIT_SECONDS = 10.0
+# An offer that the table does not show by then is forgotten; should the table show it
+# later, this instance writes the entry anew.
+OFFER_SECONDS = 60.0
 EMPTY: Mapping = MappingProxyType({})
 
 
@@ -156,9 +159,10 @@
 ) -> tuple[Holdings, list[Effect]]:
     held, expected = dict(rights.held), dict(rights.expected)
     for number, (epoch, wait) in rights.expected.items():
-        if tables.find_epoch(table, number) > epoch:
-            del expected[number]
         if table.entries.get(number) != Entry(rights.me, epoch):
+            stale = wait is not None and now >= wait + OFFER_SECONDS
+            if stale or tables.find_epoch(table, number) >= epoch:
+                del expected[number]
             continue
         if wait is not None and now < wait:
             continue
--- a/libraries/ownership/shallotspindle_ownership/simulation_test.py
+++ b/libraries/ownership/shallotspindle_ownership/simulation_test.py
@@ -15,73 +15,104 @@
 outcomes = st.sampled_from(list(Outcome))
 
 
+def start(*held: int) -> Fleet:
+    """Return a fleet in which ``a`` holds partitions and all were renewed often."""
+    fleet = Fleet(NAMES)
+    for _ in range(4):
+        fleet.advance(30)
+        for name in NAMES:
+            fleet.renew(name, Outcome.ANSWERED)
+            for other in NAMES:
+                fleet.observe(name, other)
+    fleet.acquire("a", held, Outcome.ANSWERED)
+    return fleet
+
+
 class FleetMachine(RuleBasedStateMachine):
-    """The fleet raises when two instances act or an epoch is used twice."""
+    """The fleet raises when two instances act or an epoch is used twice.
+
+    The rules bundle the steps that follow each other in the daemon, so that a run
+    gets past the quiet period and the horizon often.
+    """
 
     def __init__(self):
         super().__init__()
-        self.fleet = Fleet(NAMES)
-
-    @rule(seconds=st.sampled_from([1, 15, 60, 200, 301, HORIZON / 2, HORIZON * 1.02]))
-    def advance(self, seconds):
+        self.fleet = start(*PARTITIONS)
+
+    @rule(rounds=st.integers(1, 4), silent=names, outcome=outcomes)
+    def run_normally(self, rounds, silent, outcome):
+        for _ in range(rounds):
+            self.fleet.advance(30)
+            for name in NAMES:
+                self.fleet.read_session(name)
+                self.fleet.read_table(name)
+                self.fleet.renew(name, outcome if name == silent else Outcome.ANSWERED)
+            self.observe()
+
+    @rule(seconds=st.sampled_from([15, 301, HORIZON - 400, HORIZON * 1.02]))
+    def be_silent(self, seconds):
         self.fleet.advance(seconds)
 
-    @rule(seconds=st.sampled_from([15, 30, 60]), outcome=outcomes, name=names)
-    def run_normally(self, seconds, outcome, name):
-        self.fleet.advance(seconds)
-        for each in NAMES:
-            self.fleet.read_session(each)
-            self.fleet.renew(each, outcome if each == name else Outcome.ANSWERED)
-            for other in NAMES:
-                self.fleet.observe(each, other)
-
     @rule(name=names, outcome=outcomes)
     def renew(self, name, outcome):
         self.fleet.renew(name, outcome)
 
+    @rule(name=names)
+    def read_back(self, name):
+        self.fleet.read_session(name)
+        self.fleet.read_table(name)
+
+    @rule()
+    def observe(self):
+        for name in NAMES:
+            for other in NAMES:
+                self.fleet.observe(name, other)
+
     @rule(name=names, outcome=outcomes)
     def acquire(self, name, outcome):
-        self.fleet.read_session(name)
         self.fleet.read_table(name)
         self.fleet.acquire(name, PARTITIONS, outcome)
         self.fleet.record(name, outcome)
 
-    @rule(name=names)
-    def read_table(self, name):
-        self.fleet.read_table(name)
-
-    @rule(name=names, successor=names, outcome=outcomes, stay=st.booleans())
-    def hand_over(self, name, successor, outcome, stay):
+    @rule(name=names, successor=names, outcome=outcomes)
+    def hand_over(self, name, successor, outcome):
         self.fleet.offer(name, successor, PARTITIONS)
-        if not stay and not self.fleet.hand_over(name, successor, outcome):
+        if not self.fleet.hand_over(name, successor, outcome):
             self.fleet.hand_over_alone(name, successor)
 
     @rule(name=names, successor=names)
-    def hand_over_later(self, name, successor):
+    def hand_over_alone(self, name, successor):
+        """Stop after a long silence, as in an outage."""
+        self.fleet.advance(sessions.QUIET_SECONDS)
+        self.fleet.offer(name, successor, PARTITIONS)
         self.fleet.hand_over_alone(name, successor)
 
-    @rule(name=names, holder=names, outcome=outcomes)
-    def take_over(self, name, holder, outcome):
-        self.fleet.take_over(name, holder, outcome)
+    @rule(name=names, outcome=outcomes)
+    def take_over(self, name, outcome):
+        self.fleet.renew(name, Outcome.ANSWERED)
+        for holder in NAMES:
+            self.fleet.take_over(name, holder, outcome)
 
     @rule(name=names)
     def end(self, name):
         alive = [n for n in NAMES if self.fleet.nodes[n].alive]
         if len(alive) > 1:
             self.fleet.kill(name)
-
-    @rule(name=names)
-    def unlist(self, name):
-        self.fleet.unlist(name)
+            self.fleet.unlist(name)
 
     @rule()
     def switch_store(self):
         self.fleet.store_up = not self.fleet.store_up
 
     @precondition(lambda self: self.fleet.messages)
-    @rule(lost=st.booleans())
-    def end_message(self, lost):
-        self.fleet.lose(0) if lost else self.fleet.deliver(0)
+    @rule()
+    def deliver(self):
+        self.fleet.deliver(0)
+
+    @precondition(lambda self: self.fleet.messages)
+    @rule()
+    def lose(self):
+        self.fleet.lose(0)
 
     @precondition(lambda self: self.fleet.delayed)
     @rule()
@@ -90,7 +121,7 @@
 
 
 FleetMachine.TestCase.settings = settings(
-    derandomize=True, deadline=None, max_examples=300, stateful_step_count=40
+    derandomize=True, deadline=None, max_examples=400, stateful_step_count=30
 )
 
 
@@ -98,19 +129,6 @@
     pass
 
 
-def start(*held: int) -> Fleet:
-    """Return a fleet in which ``a`` holds partitions and all were renewed often."""
-    fleet = Fleet(NAMES)
-    for _ in range(4):
-        fleet.advance(30)
-        for name in NAMES:
-            fleet.renew(name, Outcome.ANSWERED)
-            for other in NAMES:
-                fleet.observe(name, other)
-    fleet.acquire("a", held, Outcome.ANSWERED)
-    return fleet
-
-
 class TestPausedHolder:
     def test_acts_no_more_past_its_horizon(self):
         fleet = start(0)
