Bundle the steps of hand-overs in the state machine

Cause: mutants of rules that need several steps in order survived it.

Change: a hand-over and its message are one step; the successor renews first.

--- a/libraries/ownership/shallotspindle_ownership/simulation_test.py
+++ b/libraries/ownership/shallotspindle_ownership/simulation_test.py
@@ -13,6 +13,7 @@
 HORIZON = sessions.HORIZON_SECONDS
 names = st.sampled_from(NAMES)
 outcomes = st.sampled_from(list(Outcome))
+silences = st.sampled_from([15, 301, HORIZON - 400, HORIZON * 1.02])
 
 
 def start(*held: int) -> Fleet:
@@ -49,20 +50,16 @@
                 self.fleet.renew(name, outcome if name == silent else Outcome.ANSWERED)
             self.observe()
 
-    @rule(seconds=st.sampled_from([15, 301, HORIZON - 400, HORIZON * 1.02]))
+    @rule(seconds=silences)
     def be_silent(self, seconds):
         self.fleet.advance(seconds)
 
     @rule(name=names, outcome=outcomes)
     def renew(self, name, outcome):
-        self.fleet.renew(name, outcome)
-
-    @rule(name=names)
-    def read_back(self, name):
         self.fleet.read_session(name)
         self.fleet.read_table(name)
+        self.fleet.renew(name, outcome)
 
-    @rule()
     def observe(self):
         for name in NAMES:
             for other in NAMES:
@@ -74,18 +71,23 @@
         self.fleet.acquire(name, PARTITIONS, outcome)
         self.fleet.record(name, outcome)
 
-    @rule(name=names, successor=names, outcome=outcomes)
-    def hand_over(self, name, successor, outcome):
+    @rule(name=names, successor=names, outcome=outcomes, arrives=st.booleans())
+    def hand_over(self, name, successor, outcome, arrives):
         self.fleet.offer(name, successor, PARTITIONS)
         if not self.fleet.hand_over(name, successor, outcome):
             self.fleet.hand_over_alone(name, successor)
+        if arrives and self.fleet.messages:
+            self.fleet.deliver(0)
 
-    @rule(name=names, successor=names)
-    def hand_over_alone(self, name, successor):
-        """Stop after a long silence, as in an outage."""
-        self.fleet.advance(sessions.QUIET_SECONDS)
+    @rule(name=names, successor=names, seconds=silences, arrives=st.booleans())
+    def hand_over_alone(self, name, successor, seconds, arrives):
+        """Stop an instance that the store has not answered for a while."""
+        self.fleet.advance(seconds)
+        self.fleet.renew(successor, Outcome.ANSWERED)
         self.fleet.offer(name, successor, PARTITIONS)
         self.fleet.hand_over_alone(name, successor)
+        if arrives and self.fleet.messages:
+            self.fleet.deliver(0)
 
     @rule(name=names, outcome=outcomes)
     def take_over(self, name, outcome):
@@ -105,14 +107,9 @@
         self.fleet.store_up = not self.fleet.store_up
 
     @precondition(lambda self: self.fleet.messages)
-    @rule()
-    def deliver(self):
-        self.fleet.deliver(0)
-
-    @precondition(lambda self: self.fleet.messages)
-    @rule()
-    def lose(self):
-        self.fleet.lose(0)
+    @rule(lost=st.booleans())
+    def end_message(self, lost):
+        self.fleet.lose(0) if lost else self.fleet.deliver(0)
 
     @precondition(lambda self: self.fleet.delayed)
     @rule()
@@ -121,7 +118,7 @@
 
 
 FleetMachine.TestCase.settings = settings(
-    derandomize=True, deadline=None, max_examples=400, stateful_step_count=30
+    derandomize=True, deadline=None, max_examples=600, stateful_step_count=25
 )
 
 
