Give each run its own idempotency keys and leave broken blocks out of medians

Markers and keys now carry a random text of the run.

A comparison whose fleet stopped after half the time reported the medians over blocks without any answer, and so half the true latency. Blocks with incomplete requests are now left out and their requests counted.

--- a/libraries/bench/shallotspindle_bench/arrivals.py
+++ b/libraries/bench/shallotspindle_bench/arrivals.py
@@ -1,8 +1,8 @@
 """Schedule of requests, fixed before the run so that no answer can delay a request."""
 
 import random
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
 
 from shallotspindle_bench.scenarios import Kind, Scenario, Team
 
@@ -94,6 +94,24 @@
     return sorted(found, key=lambda arrival: (arrival.at, arrival.marker))
 
 
+def mark(schedule: Iterable[Arrival], run: str) -> list[Arrival]:
+    """Return a schedule with markers and idempotency keys of one run.
+
+    Without this a second run of a seed would repeat the keys of the first, and get
+    its stored answers.
+
+    :param run: text that no other run on the same fleet has.
+    """
+    return [
+        replace(
+            item,
+            marker=f"{run}-{item.marker}",
+            idempotency_key=item.idempotency_key and f"{run}-{item.idempotency_key}",
+        )
+        for item in schedule
+    ]
+
+
 def count_within_rate(team: Team, moments: list[float]) -> int:
     """Return how many requests one exact token bucket of the team admits."""
     if team.rate is None:
--- a/libraries/bench/shallotspindle_bench/arrivals_test.py
+++ b/libraries/bench/shallotspindle_bench/arrivals_test.py
@@ -52,6 +52,14 @@
         assert all(keys)
         assert len(set(keys)) == len(keys)
 
+    def test_two_runs_of_a_seed_share_no_idempotency_key(self):
+        # Guards against a second run that is answered from the first one's answers.
+        schedule = arrivals.build_schedule(build_scenario(build_team("a")), 1)
+        first, second = (arrivals.mark(schedule, run) for run in "xy")
+        assert not {i.marker for i in first} & {i.marker for i in second}
+        keys = [{i.idempotency_key for i in found} for found in (first, second)]
+        assert keys[0] & keys[1] == {""}
+
     def test_poison_is_placed_at_its_moment(self):
         poison = Poison(at=9, team="a", path="/o", body="boom")
         scenario = build_scenario(build_team("a"), poison=(poison,))
--- a/libraries/bench/shallotspindle_bench/comparison.py
+++ b/libraries/bench/shallotspindle_bench/comparison.py
@@ -23,7 +23,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """Medians over the blocks, in milliseconds; ratios are second to first."""
+    """Medians over the blocks, in milliseconds; ratios are second to first.
+
+    :param incomplete: requests without a complete answer. A block with one is left
+        out of the medians, since its latencies are those of the luckier requests.
+    """
 
     scenario: str
     seed: int
@@ -35,6 +39,7 @@
     p99_added: float
     p50_ratio: float
     p99_ratio: float
+    incomplete: int
     blocks: list[Block]
 
 
@@ -72,18 +77,19 @@
     blocks: list[Block], targets: tuple[str, str], name: str
 ) -> tuple[float, float]:
     first, second = (
-        median(getattr(block, name) for block in blocks if block.target == target)
+        [getattr(block, name) for block in blocks if block.target == target]
         for target in targets
     )
-    return first, second
+    return (median(first), median(second)) if first and second else (0.0, 0.0)
 
 
 def compare(
     scenario: str, seed: int, targets: tuple[str, str], blocks: list[Block]
 ) -> Comparison:
     """Return the medians, differences and ratios of two targets."""
-    p50 = take_medians(blocks, targets, "p50")
-    p99 = take_medians(blocks, targets, "p99")
+    whole = [block for block in blocks if block.complete == block.sent]
+    p50 = take_medians(whole, targets, "p50")
+    p99 = take_medians(whole, targets, "p99")
     return Comparison(
         scenario=scenario,
         seed=seed,
@@ -95,5 +101,6 @@
         p99_added=round(p99[1] - p99[0], 3),
         p50_ratio=round(p50[1] / p50[0], 3) if p50[0] else 0.0,
         p99_ratio=round(p99[1] / p99[0], 3) if p99[0] else 0.0,
+        incomplete=sum(block.sent - block.complete for block in blocks),
         blocks=blocks,
     )
--- a/libraries/bench/shallotspindle_bench/report.py
+++ b/libraries/bench/shallotspindle_bench/report.py
@@ -92,7 +92,8 @@
     each = format_table(("block", "target", "sent", "complete", "p50", "p99"), blocks)
     return f"""# {result["scenario"]}, seed {result["seed"]}: {second} against {first}
 
-Medians over the blocks:
+Medians over the blocks in which all requests were complete; {result["incomplete"]}
+requests were not.
 
 {medians}
 
--- a/libraries/bench/shallotspindle_bench/running.py
+++ b/libraries/bench/shallotspindle_bench/running.py
@@ -1,6 +1,7 @@
 """Runs scenarios against targets."""
 
 import asyncio
+import secrets
 from dataclasses import dataclass
 
 import aiohttp
@@ -25,9 +26,14 @@
     repeated: int | None
 
 
+def name_run() -> str:
+    """Return a text that no other run has."""
+    return secrets.token_hex(4)
+
+
 async def run_scenario(scenario: Scenario, target: Target, seed: int) -> RunResult:
     """Send the load of a scenario and set its faults."""
-    schedule = arrivals.build_schedule(scenario, seed)
+    schedule = arrivals.mark(arrivals.build_schedule(scenario, seed), name_run())
     found: list[Sample] = []
     with progress.show(len(schedule), scenario.name) as advance:
 
@@ -55,7 +61,8 @@
     """Send the first requests to each target without counting them."""
     first = [item for item in schedule if item.at < seconds]
     for client in clients.values():
-        await client.send_all(first, 0.0, lambda sample: None)
+        marked = arrivals.mark(first, name_run())
+        await client.send_all(marked, 0.0, lambda sample: None)
 
 
 async def run_comparison(
@@ -67,6 +74,7 @@
     """
     schedule = arrivals.build_schedule(scenario, seed)
     names = (pair[0].name, pair[1].name)
+    run = name_run()
     blocks: list[Block] = []
     async with Client(pair[0]) as first, Client(pair[1]) as second:
         clients = {names[0]: first, names[1]: second}
@@ -81,6 +89,7 @@
                         found.append(sample)
                         advance()
 
-                    await clients[name].send_all(items, start, note)
+                    marked = arrivals.mark(items, run)
+                    await clients[name].send_all(marked, start, note)
                     blocks.append(comparison.measure_block(number, name, found))
     return comparison.compare(scenario.name, seed, names, blocks)
--- a/libraries/bench/shallotspindle_bench/samples_test.py
+++ b/libraries/bench/shallotspindle_bench/samples_test.py
@@ -92,6 +92,16 @@
         assert (found.p50, found.p99_added, found.p50_ratio) == ((2, 3), 3, 1.5)
         assert report.format_comparison(asdict(found)) == snapshot
 
+    def test_incomplete_blocks_do_not_lower_the_medians(self):
+        # Guards against a target that stopped and so looks fast.
+        figures = [("a", 10, 4), ("b", 10, 8), ("b", 0, 0)]
+        blocks = [
+            comparison.Block(n, name, 10, complete, p50, p50)
+            for n, (name, complete, p50) in enumerate(figures)
+        ]
+        found = comparison.compare("s", 1, ("a", "b"), blocks)
+        assert (found.p50, found.incomplete) == ((4, 8), 10)
+
     def test_blocks_keep_all_requests_and_alternate(self):
         schedule = [Arrival(n / 2, "t", "", "k", "GET", "/", str(n)) for n in range(20)]
         blocks = comparison.split_blocks(schedule, 4)
