--- a/tools/capacity_tables.py
+++ b/tools/capacity_tables.py
@@ -43,10 +43,8 @@
     header = ("quantity", "unit", "base", *(f"per 1,000 {axis}" for axis in TARGET))
     rows = []
     for quantity in QUANTITIES:
-        cells = [
-            f"{1000 * slopes.fit_slope(points, axis, quantity):.{quantity.digits}f}"
-            for axis in TARGET
-        ]
+        found = (slopes.fit_slope(points, axis, quantity) for axis in TARGET)
+        cells = [f"{1000 * slope.value:.{quantity.digits}f}" for slope in found]
         base = slopes.read_base(points, quantity)
         rows.append(
             (quantity.name, quantity.unit, f"{base:.{quantity.digits}f}", *cells)
@@ -75,10 +73,12 @@
     per_second = CHANGES_PER_DAY / SECONDS_PER_DAY
     change_cpu = slopes.compute_total(points, slopes.CHANGE_CPU)
     change_bytes = slopes.compute_total(points, slopes.CHANGE_BYTES)
-    for quantity, of_changes, limit in (
-        (slopes.QUIET_CPU, change_cpu * per_second / 10, CPU_LIMIT_PERCENT),
-        (slopes.QUIET_BYTES, change_bytes * per_second, TRAFFIC_LIMIT_KB),
-        (slopes.RSS, 0.0, MEMORY_LIMIT_MB),
+    cpu_error = slopes.compute_error(points, slopes.CHANGE_CPU) * per_second / 10
+    bytes_error = slopes.compute_error(points, slopes.CHANGE_BYTES) * per_second
+    for quantity, of_changes, change_error, limit in (
+        (slopes.QUIET_CPU, change_cpu * per_second / 10, cpu_error, CPU_LIMIT_PERCENT),
+        (slopes.QUIET_BYTES, change_bytes * per_second, bytes_error, TRAFFIC_LIMIT_KB),
+        (slopes.RSS, 0.0, 0.0, MEMORY_LIMIT_MB),
     ):
         added = slopes.compute_added(points, quantity)
         control = added + of_changes
@@ -88,6 +88,7 @@
             f"{added:.2f}",
             f"{of_changes:.2f}",
             f"{control:.2f}",
+            f"{slopes.compute_error(points, quantity) + change_error:.2f}",
             limit,
             tell(control <= limit),
         )
@@ -100,6 +101,7 @@
         "added by size",
         "added by changes",
         "control",
+        "± 2 standard errors",
         "limit",
         "fits",
     )
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from statistics import linear_regression
+from math import sqrt
+from statistics import linear_regression, mean
 
 SECONDS_PER_DAY = 86_400
 TARGET = {"daemons": 770, "teams": 37_000, "routes": 4_100, "upstreams": 6_300}
@@ -95,23 +96,46 @@
     return quantity.read(find_base(points)) * quantity.scale
 
 
-def fit_slope(points: list[dict], axis: str, quantity: Quantity) -> float:
-    """Return the growth of a quantity for each unit of an axis.
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Growth of a quantity for each unit of an axis.
 
-    The points of the axis are fitted together with the base point.
+    :param value: 0 when it is smaller than twice its standard error.
+    :param error: standard error.
     """
+
+    value: float
+    error: float
+
+
+def fit_slope(points: list[dict], axis: str, quantity: Quantity) -> Slope:
+    """Fit a line to the points of an axis together with the base point."""
     used = [item for item in points if item["point"]["axis"] in (axis, "base")]
     values = [item["point"]["value"] for item in used]
     figures = [quantity.read(item) * quantity.scale for item in used]
-    return linear_regression(values, figures).slope
+    line = linear_regression(values, figures)
+    fitted = [line.intercept + line.slope * value for value in values]
+    residual = sum((a - b) ** 2 for a, b in zip(figures, fitted, strict=True))
+    spread = sum((value - mean(values)) ** 2 for value in values)
+    error = sqrt(residual / (len(used) - 2) / spread)
+    return Slope(line.slope if abs(line.slope) >= 2 * error else 0.0, error)
 
 
 def compute_added(points: list[dict], quantity: Quantity) -> float:
     """Return the sum of all slopes at the target size, beyond the base point."""
     return sum(
-        fit_slope(points, axis, quantity) * (count - 1)
+        fit_slope(points, axis, quantity).value * (count - 1)
+        for axis, count in TARGET.items()
+    )
+
+
+def compute_error(points: list[dict], quantity: Quantity) -> float:
+    """Return two standard errors of the sum of all slopes at the target size."""
+    errors = (
+        fit_slope(points, axis, quantity).error * (count - 1)
         for axis, count in TARGET.items()
     )
+    return 2 * sqrt(sum(error**2 for error in errors))
 
 
 def compute_total(points: list[dict], quantity: Quantity) -> float:
