--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from statistics import linear_regression
+from math import sqrt
+from statistics import linear_regression, mean
 
 SECONDS_PER_DAY = 86_400
 TARGET = {"daemons": 770, "teams": 37_000, "routes": 4_100, "upstreams": 6_300}
@@ -87,31 +88,55 @@
 )
 
 
-def find_base(points: list[dict]) -> dict:
-    return next(item for item in points if item["point"]["axis"] == "base")
+def find_bases(points: list[dict]) -> list[dict]:
+    return [item for item in points if item["point"]["axis"] == "base"]
 
 
 def read_base(points: list[dict], quantity: Quantity) -> float:
-    return quantity.read(find_base(points)) * quantity.scale
+    """Return the mean of a quantity over the base points."""
+    return mean(map(quantity.read, find_bases(points))) * quantity.scale
 
 
-def fit_slope(points: list[dict], axis: str, quantity: Quantity) -> float:
-    """Return the growth of a quantity for each unit of an axis.
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Growth of a quantity for each unit of an axis.
 
-    The points of the axis are fitted together with the base point.
+    :param value: 0 when it is smaller than twice its standard error.
+    :param error: standard error.
     """
+
+    value: float
+    error: float
+
+
+def fit_slope(points: list[dict], axis: str, quantity: Quantity) -> Slope:
+    """Fit a line to the points of an axis together with the base point."""
     used = [item for item in points if item["point"]["axis"] in (axis, "base")]
     values = [item["point"]["value"] for item in used]
     figures = [quantity.read(item) * quantity.scale for item in used]
-    return linear_regression(values, figures).slope
+    line = linear_regression(values, figures)
+    fitted = [line.intercept + line.slope * value for value in values]
+    residual = sum((a - b) ** 2 for a, b in zip(figures, fitted, strict=True))
+    spread = sum((value - mean(values)) ** 2 for value in values)
+    error = sqrt(residual / (len(used) - 2) / spread)
+    return Slope(line.slope if abs(line.slope) >= 2 * error else 0.0, error)
 
 
 def compute_added(points: list[dict], quantity: Quantity) -> float:
     """Return the sum of all slopes at the target size, beyond the base point."""
     return sum(
-        fit_slope(points, axis, quantity) * (count - 1)
+        fit_slope(points, axis, quantity).value * (count - 1)
+        for axis, count in TARGET.items()
+    )
+
+
+def compute_error(points: list[dict], quantity: Quantity) -> float:
+    """Return two standard errors of the sum of all slopes at the target size."""
+    errors = (
+        fit_slope(points, axis, quantity).error * (count - 1)
         for axis, count in TARGET.items()
     )
+    return 2 * sqrt(sum(error**2 for error in errors))
 
 
 def compute_total(points: list[dict], quantity: Quantity) -> float:
@@ -124,7 +149,11 @@
     return -(-int(compute_total(points, BUNDLE) * 1e6) // STORE_VALUE_BYTES)
 
 
-def read_store_rate(point: dict, name: str) -> float:
-    """Return the calls of one daemon on the store a second without changes."""
-    calls = point["quiet"]["store_calls"][name]
-    return calls / point["quiet"]["seconds"] / point["point"]["daemons"]
+def read_store_rate(points: list[dict], name: str) -> float:
+    """Return the calls of one daemon on the store a second without changes.
+
+    All points are used, since a few calls in a window are too coarse.
+    """
+    calls = sum(item["quiet"]["store_calls"][name] for item in points)
+    spent = sum(i["quiet"]["seconds"] * i["point"]["daemons"] for i in points)
+    return calls / spent
