Allow the peers task to stop before it started

Cause: stop failed with an attribute error if the listener was never started. Change: the server is optional until the task has prepared.

--- a/libraries/entry/shallotspindle_entry/peers.py
+++ b/libraries/entry/shallotspindle_entry/peers.py
@@ -93,6 +93,7 @@
         self._handlers: dict[type, Handler] = {}
         self._ahead: list[AheadListener] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._server: asyncio.Server | None = None
         self.traffic = self._links.traffic
         self._actions: dict[type, Callable[[Any], None]] = {
             Outgoing: self._send_out,
@@ -167,7 +168,8 @@
     async def stop(self, exception: Exception | None = None) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         self._links.close()
         await super().stop(exception)
 
