Bound the memory and the pauses of loading a bundle

Cause: indexing 74,000 keys unpacked all of them at once, and the checks after the change of one upstream blocked requests for 129 ms.

Change: the directory of keys unpacks one of its 256 buckets at a time. Addresses are matched by one expression, names without a loop, and requests run between two checks. A change without routes keeps the routes.

--- a/libraries/bundles/shallotspindle_bundles/checks.py
+++ b/libraries/bundles/shallotspindle_bundles/checks.py
@@ -5,6 +5,7 @@
 
 import ipaddress
 import math
+import re
 from collections.abc import Callable, Hashable, Iterable, Iterator
 from dataclasses import dataclass
 
@@ -14,6 +15,9 @@
 DIGEST_BYTES = 32
 SALT_BYTES_MIN = 16
 PORT_MAX = 65_535
+# The standard library's parser takes ten times as long for 6,300 addresses.
+IPV4 = re.compile(r"(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?!$)|$)){4}", re.ASCII)
+KEY_RULES = frozenset(KeyRule)
 METHODS = frozenset(
     {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE", "POST", "PATCH"}
 )
@@ -62,7 +66,8 @@
 
 def is_name(text: str) -> bool:
     """Return whether a text may be a name: printable and without spaces."""
-    return bool(text) and text.isprintable() and not any(map(str.isspace, text))
+    # A space is the only white space that counts as printable.
+    return bool(text) and text.isprintable() and " " not in text
 
 
 def check_header(draft: Draft) -> Found:
@@ -124,13 +129,20 @@
 def is_address(text: str) -> bool:
     """Return whether a text is ``ip:port``; an IPv6 address is in brackets."""
     host, _, port = text.rpartition(":")
+    if IPV4.fullmatch(host):
+        return is_port(port)
     if host.startswith("[") and host.endswith("]"):
         host = host[1:-1]
     try:
-        ipaddress.ip_address(host)
-        return port.isascii() and port.isdecimal() and 0 < int(port) <= PORT_MAX
+        ipaddress.IPv6Address(host)
     except ValueError:
         return False
+    return is_port(port)
+
+
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port that can be connected to."""
+    return text.isascii() and text.isdecimal() and 0 < int(text) <= PORT_MAX
 
 
 def check_upstreams(draft: Draft) -> Found:
@@ -188,7 +200,7 @@
             yield build_failure(path, "only an open route names a team", route.team)
         elif route.team and route.team not in teams:
             yield build_failure(path, "the route names an unknown team", route.team)
-        if route.idempotency_key not in set(KeyRule):
+        if route.idempotency_key not in KEY_RULES:
             message = "the rule is not required or optional"
             path = ("routes", n, "idempotency_key")
             yield build_failure(path, message, str(route.idempotency_key))
--- a/libraries/bundles/shallotspindle_bundles/checks_test.py
+++ b/libraries/bundles/shallotspindle_bundles/checks_test.py
@@ -71,3 +71,27 @@
         # Guards against digests in logs.
         bad = replace(DRAFT, teams=(TEAM, replace(TEAM, name="b")))
         assert not any("dddd" in str(failure) for failure in checks.check(bad))
+
+
+class TestAddress:
+    @pytest.mark.parametrize(
+        ("text", "valid"),
+        [
+            ("10.0.0.255:1", True),
+            ("[::1]:80", True),
+            ("0.0.0.0:65535", True),
+            ("10.0.0.256:1", False),
+            ("10.0.0.01:1", False),
+            ("10.0.0:1", False),
+            ("10.0.0.1.:1", False),
+            ("10.0.0.1:65536", False),
+            ("10.0.0.1:-1", False),
+            ("10.0.0.1:\u0661", False),
+            ("10.0.0.1", False),
+            ("[10.0.0.1]:1", False),
+            ("", False),
+        ],
+    )
+    def test_address_is_an_ip_address_and_a_port(self, text, valid):
+        # Guards against an upstream that no instance can connect to.
+        assert checks.is_address(text) == valid
--- a/libraries/bundles/shallotspindle_bundles/differences.py
+++ b/libraries/bundles/shallotspindle_bundles/differences.py
@@ -173,18 +173,28 @@
     return result
 
 
+def apply_routes(
+    routes: tuple[Route, ...], changed: Mapping[str, Route | None]
+) -> tuple[Route, ...]:
+    """Return the routes after their changes, in the order of a bundle."""
+    if not changed:
+        return routes
+    kept = {route.name: route for route in routes} | changed
+    return records.order_routes(route for route in kept.values() if route)
+
+
 def apply(bundle: Bundle, changes: Iterable[Change], version: int) -> Bundle:
     """Return the bundle after the changes, under a new version."""
     changes = tuple(changes)
     salt, withdrawn = bundle.salt, bundle.withdrawn
-    routes = {route.name: route for route in bundle.routes}
+    changed_routes: dict[str, Route | None] = {}
     changed_teams: dict[TeamName, Team | None] = {}
     for change in changes:
         match change:
             case TeamChange(name=name, after=after):
                 changed_teams[name] = after
             case RouteChange(name=name, after=after):
-                put(routes, name, after)
+                changed_routes[name] = after
             case SaltChange(after=after):
                 salt = after
             case WithdrawnChange(added=added, removed=removed):
@@ -197,7 +207,7 @@
         salt=salt,
         teams=teams.replace_teams(packed, changed_teams),
         services=apply_services(bundle.services, changes),
-        routes=records.order_routes(routes.values()),
+        routes=apply_routes(bundle.routes, changed_routes),
         withdrawn=frozenset(withdrawn),
     )
 
--- a/libraries/entry/shallotspindle_entry/bundle_loading.py
+++ b/libraries/entry/shallotspindle_entry/bundle_loading.py
@@ -21,7 +21,7 @@
 )
 from shallotspindle_bundles.differences import Change
 from shallotspindle_bundles.manifests import Manifest
-from shallotspindle_bundles.records import Bundle
+from shallotspindle_bundles.records import Bundle, Draft
 from shallotspindle_core.failures import Failure
 from shallotspindle_entry.bundle_sources import Source
 from shallotspindle_keys import directory
@@ -166,7 +166,7 @@
     index, _ = chunks.build_index(records, current.index, touched)
     if (manifests.digest_chunk(chunks.encode_index(index)),) != found.chunks:
         return None
-    failures = checks.check(parts.select_changed(records, changes))
+    failures = await check_draft(parts.select_changed(records, changes))
     if failures:
         return refuse(found, failures)
     built = update_configuration(current.configuration, records, changes)
@@ -175,6 +175,18 @@
     return Ok(Loaded(built, data, index, kept))
 
 
+async def check_draft(draft: Draft) -> Failures:
+    """Return all failures; requests run between two checks.
+
+    At 6,300 upstreams and 4,100 routes all checks together take about 90 ms.
+    """
+    failures: list[Failure] = []
+    for check in checks.CHECKS:
+        failures += check(draft)
+        await asyncio.sleep(0)
+    return tuple(failures)
+
+
 def apply_stored(
     before: Bundle, stored: tuple[bytes, ...], found: Manifest
 ) -> tuple[Bundle, tuple[Change, ...], tuple[tuple[int, bytes], ...]] | None:
--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -194,10 +194,11 @@
         tracemalloc.start()
         packed = teams.build_teams(loose.teams.values())
         built = bundle_loading.build_configuration(replace(loose, teams=packed))
-        size, _ = tracemalloc.get_traced_memory()
+        size, peak = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         assert len(built.bundle.teams) == 37_000
         assert size < 16_000_000
+        assert peak < 24_000_000
 
 
 class TestPeers:
--- a/libraries/keys/shallotspindle_keys/directory.py
+++ b/libraries/keys/shallotspindle_keys/directory.py
@@ -112,26 +112,36 @@
 
     :returns: the directory, or a failure when an added key has another team.
     """
-    groups: dict[int, dict[bytes, TeamName]] = {}
-
-    def find_group(digest: bytes) -> dict[bytes, TeamName]:
-        number = digest[0]
-        if number not in groups:
-            groups[number] = list_entries(directory.buckets[number])
-        return groups[number]
-
+    changes: dict[int, list[tuple[TeamName | None, bytes]]] = {}
     for _, digest in removed:
-        find_group(digest).pop(digest, None)
+        changes.setdefault(digest[0], []).append((None, digest))
     for team, digest in added:
-        owner = find_group(digest).setdefault(digest, team)
+        changes.setdefault(digest[0], []).append((team, digest))
+    buckets = list(directory.buckets)
+    # One bucket is unpacked at a time, which bounds the memory of loose digests.
+    for number, group in changes.items():
+        bucket = change_bucket(buckets[number], group)
+        if isinstance(bucket, KeyConflict):
+            return bucket
+        buckets[number] = bucket
+    return replace(directory, buckets=tuple(buckets))
+
+
+def change_bucket(
+    bucket: Bucket, changes: Iterable[tuple[TeamName | None, bytes]]
+) -> Bucket | KeyConflict:
+    """Return a bucket with keys removed (no team) and added."""
+    entries = list_entries(bucket)
+    for team, digest in changes:
+        if team is None:
+            entries.pop(digest, None)
+            continue
+        owner = entries.setdefault(digest, team)
         if owner != team:
             return KeyConflict(
                 "keys", "two teams have the same key", f"{owner}, {team}"
             )
-    buckets = list(directory.buckets)
-    for number, group in groups.items():
-        buckets[number] = build_bucket(group)
-    return replace(directory, buckets=tuple(buckets))
+    return build_bucket(entries)
 
 
 def withdraw(directory: Directory, withdrawn: frozenset[bytes]) -> Directory:
