Test withdrawals against a slow store and replaced instances

Cause: no test showed that a withdrawal given in an outage reaches the store and new instances, or that a hanging read does not delay it.

Change: tests of both, and of the handler of POST /withdrawals.

--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -2,8 +2,11 @@
 import tracemalloc
 from dataclasses import replace
 from datetime import UTC, datetime
+from unittest.mock import Mock
 
 import pytest
+from aiohttp import StreamReader
+from aiohttp.test_utils import make_mocked_request
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from shallotspindle_bundles import manifests, records, teams, withdrawals
@@ -12,13 +15,13 @@
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import Instance
-from shallotspindle_entry import bundle_loading
+from shallotspindle_entry import bundle_loading, withdrawal_endpoint
 from shallotspindle_entry import bundle_messages as messages
-from shallotspindle_entry.configuration import ConfigurationTask
+from shallotspindle_entry.configuration import ConfigurationTask, StoreChanged
 from shallotspindle_entry.interfaces import PeerUnreachable
 from shallotspindle_keys import digests, directory
 from shallotspindle_platform.memory import MemoryStore
-from shallotspindle_settings import chunks, manifest
+from shallotspindle_settings import chunks, manifest, withdrawal
 
 KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
 SIGNERS = {"astrid": KEY.public_key()}
@@ -290,3 +293,70 @@
         assert task.list_withdrawals() == ()
         assert DIGEST in task.current.keys.withdrawn
         assert records.order_routes(later.routes) == later.routes
+
+    async def test_slow_store_does_not_delay_a_withdrawal(self, fleet):
+        # Guards against a withdrawn key that works while a read of the store hangs.
+        store = MemoryStore()
+        publish(store, BUNDLE)
+        task = await fleet(store, alone=True)
+        await wait_for(lambda: task.ready)
+        hanging = asyncio.Event()
+
+        async def hang(key):
+            hanging.set()
+            await asyncio.Event().wait()
+
+        store.get = hang
+        task.tell(StoreChanged())
+        await hanging.wait()
+        await task.ask(messages.WithdrawalGiven(STATEMENT))
+        assert DIGEST in task.current.keys.withdrawn
+
+    async def test_withdrawal_of_an_outage_is_stored_and_read_by_new_instances(
+        self, fleet
+    ):
+        # Guards against a key that works again when all instances were replaced.
+        store = MemoryStore()
+        publish(store, BUNDLE)
+        first = await fleet(store, alone=True)
+        await wait_for(lambda: first.ready)
+        store.down = True
+        await first.ask(messages.WithdrawalGiven(STATEMENT))
+        store.down = False
+        first.tell(StoreChanged())
+        key = withdrawal.WITHDRAWAL_PREFIX + DIGEST.hex()
+        await wait_for(lambda: key in store._entries)
+        second = await fleet(store, "two", "b")
+        await wait_for(lambda: second.ready)
+        assert DIGEST in second.current.keys.withdrawn
+
+
+class TestEndpoint:
+    @pytest.mark.parametrize(
+        ("statement", "status"),
+        [(STATEMENT, 200), (replace(STATEMENT, reason="forged"), 403)],
+    )
+    async def test_signed_statement_is_taken(self, fleet, statement, status):
+        task = await fleet(MemoryStore(), alone=True)
+        body = withdrawal.format_withdrawal(statement)
+        response = await self.send(task, body)
+        assert response.status == status
+        assert (DIGEST in task._withdrawals) == (status == 200)
+
+    @pytest.mark.parametrize(("body", "status"), [(b"{}", 400), (b"x" * 9999, 413)])
+    async def test_malformed_statement_is_refused(self, fleet, body, status):
+        task = await fleet(MemoryStore(), alone=True)
+        assert (await self.send(task, body)).status == status
+
+    async def send(self, task, body):
+        """Call the handler with a request that has the body."""
+        content = StreamReader(Mock(), 2**16, loop=asyncio.get_running_loop())
+        content.feed_data(body)
+        content.feed_eof()
+        request = make_mocked_request(
+            "POST",
+            "/withdrawals",
+            headers={"Content-Length": str(len(body))},
+            payload=content,
+        )
+        return await withdrawal_endpoint.take_withdrawal(task, request)
