Refuse malformed lists of instances and malformed write answers

Cause: tests of malformed answers showed two faults. A list that was a JSON object read as a list without instances, which counts as proof that all of them have ended. A write answer with a malformed revision raised TypeError.

Change: the list must be an array of groups of the right form; the revision is converted where malformed answers become OutcomeUnknown.

--- a/libraries/platform/shallotspindle_platform/etcd.py
+++ b/libraries/platform/shallotspindle_platform/etcd.py
@@ -179,14 +179,17 @@
         written = read(
             f"store {key}",
             answer,
-            lambda found: (bool(found.get("succeeded")), found["header"]["revision"]),
+            lambda found: (
+                bool(found.get("succeeded")),
+                int(found["header"]["revision"]),
+            ),
         )
         if written.is_error():
             return Error(written.error)
         succeeded, reached = written.ok
         if not succeeded:
             return Error(Conflict(f"store {key}", "the value was changed"))
-        return Ok(int(reached))
+        return Ok(reached)
 
     async def grant_lease(self, seconds: int) -> Result[int, StoreFailure]:
         answer = await self._call("/v3/lease/grant", {"TTL": str(seconds)})
--- a/libraries/platform/shallotspindle_platform/listing.py
+++ b/libraries/platform/shallotspindle_platform/listing.py
@@ -4,7 +4,7 @@
 ``failure_domain`` and ``state`` describe an instance.
 """
 
-import json
+from typing import Any
 
 import aiohttp
 from expression import Error, Ok, Result
@@ -15,9 +15,24 @@
 CALL_TIMEOUT_SECONDS = 2.0
 
 
-def decode_group(group: dict) -> list[ListedInstance]:
+def decode_groups(groups: Any) -> tuple[ListedInstance, ...]:
+    """Convert the whole list.
+
+    An instance that is not listed counts as ended, so a list of another form must
+    fail and never look empty.
+
+    :raises TypeError: if the list has another form.
+    """
+    if not isinstance(groups, list):
+        raise TypeError("the list is not a JSON array")
+    return tuple(item for group in groups for item in decode_group(group))
+
+
+def decode_group(group: Any) -> list[ListedInstance]:
     """Convert one group of the list."""
     labels = group["labels"]
+    if not isinstance(group["targets"], list) or not isinstance(labels, dict):
+        raise TypeError("a group has another form")
     return [
         ListedInstance(
             Instance(
@@ -51,8 +66,8 @@
                     status = str(response.status)
                     return Error(StoreFailure(source, "the call was refused", status))
                 groups = await response.json(content_type=None)
-            return Ok(tuple(item for group in groups for item in decode_group(group)))
+            return Ok(decode_groups(groups))
         except (TimeoutError, aiohttp.ClientError) as error:
             return Error(StoreFailure(source, "no answer", type(error).__name__))
-        except (KeyError, TypeError, json.JSONDecodeError) as error:
+        except (KeyError, TypeError, ValueError) as error:
             return Error(StoreFailure(source, "the answer is malformed", repr(error)))
