Make sure that paused and killed instances hold partitions in the tests

Cause: two process tests passed without a partition at the paused or the killed instance. Change: they wait until every instance holds partitions, and require that something was refused. Conclusion: the tests can fail.

--- a/libraries/entry/shallotspindle_entry/daemon_test.py
+++ b/libraries/entry/shallotspindle_entry/daemon_test.py
@@ -18,7 +18,9 @@
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
-GUARD_SECONDS = 40
+GUARD_SECONDS = 60
+# Renewals are due every 30 s, and a take-over waits until one is overdue.
+TAKE_OVER_GUARD_SECONDS = 150
 INSTANCES = 4
 SIZE = sizes.Size(teams=6, services=(("catalogue", 3), ("deposits", 2)))
 KEY = "key-team-1"
@@ -74,6 +76,17 @@
     async def get_state(self, entry: processes.Entry) -> dict:
         return await self.fleet.call("GET", f"{entry.administration}/state")
 
+    async def await_spread(self) -> None:
+        """Wait until every instance holds partitions, and all are held."""
+        async with asyncio.timeout(GUARD_SECONDS):
+            while True:
+                entries = self.fleet.entries
+                states = [await self.get_state(entry) for entry in entries]
+                counts = [state["partitions"] for state in states]
+                if min(counts) > 0 and sum(counts) == sizes.PARTITIONS:
+                    return
+                await asyncio.sleep(0.05)
+
     async def await_peers(self, entry: processes.Entry, count: int) -> None:
         """Wait until an instance counts so many usable peers."""
         while (await self.get_state(entry))["peers"] != count:
@@ -181,9 +194,10 @@
 
     async def test_paused_holder_delays_deposits_and_doubles_none(self, callers):
         # A paused holder is still the holder: nobody else may grant its keys.
+        await callers.await_spread()
         first, paused = callers.fleet.entries[0], callers.fleet.entries[1]
         paused.process.send_signal(signal.SIGSTOP)
-        names = [f"paused-{number}" for number in range(12)]
+        names = [f"paused-{number}" for number in range(40)]
         try:
             answers = await asyncio.gather(
                 *(callers.send(first, "/deposits/1", deposit=n) for n in names)
@@ -191,6 +205,7 @@
         finally:
             paused.process.send_signal(signal.SIGCONT)
         refused = [problem for status, problem in answers if status != 200]
+        assert refused
         assert all(problem["outcome"] == "unknown" for problem in refused)
         async with asyncio.timeout(GUARD_SECONDS):
             for name in names:
@@ -233,6 +248,7 @@
 class TestCrash:
     async def test_deposit_of_a_killed_instance_does_not_run_again(self, callers):
         # Guards against a second run by the instances that are left.
+        await callers.await_spread()
         first, killed = callers.fleet.entries[0], callers.fleet.entries[-1]
         names = [f"killed-{number}" for number in range(12)]
         for name in names:
@@ -247,6 +263,10 @@
 
     async def test_partitions_of_the_killed_instance_are_taken_over(self, callers):
         # Depends on the kill above; the platform's list proves the end.
-        await callers.fleet.forget(callers.fleet.entries[-1])
-        async with asyncio.timeout(GUARD_SECONDS):
+        killed = callers.fleet.entries[-1]
+        left = callers.fleet.entries[:-1]
+        held = [(await callers.get_state(entry))["partitions"] for entry in left]
+        assert sum(held) < sizes.PARTITIONS
+        await callers.fleet.forget(killed)
+        async with asyncio.timeout(TAKE_OVER_GUARD_SECONDS):
             await callers.fleet.await_partitions(sizes.PARTITIONS)
