--- a/libraries/health/shallotspindle_health/detection_test.py
+++ b/libraries/health/shallotspindle_health/detection_test.py
@@ -78,6 +78,15 @@
         described = {item.name: item for item in overview.describe(0.0)[SERVICE]}
         assert (described["u0"].state, described["u0"].shed) == (State.ACTIVE, 50)
 
+    def test_timeout_of_a_request_sent_late_says_nothing(self):
+        # Guards against blaming upstreams for the time that requests queued here.
+        overview = build()
+        feed_well(overview)
+        feed(overview, "u0", Outcome.TIMED_OUT, 20, seconds=0.02)
+        assert find_states(overview)["u0"] is State.ACTIVE
+        feed(overview, "u0", Outcome.TIMED_OUT, 20, seconds=1.0)
+        assert find_states(overview)["u0"] is State.EJECTED
+
     def test_nobody_is_ejected_when_all_fail_alike(self):
         # Guards against blaming upstreams for a cause that they share.
         overview = build(floor=0)
--- a/libraries/health/shallotspindle_health/samples.py
+++ b/libraries/health/shallotspindle_health/samples.py
@@ -106,6 +106,8 @@
         if outcome is Outcome.SHED:
             counters.shed += 1
             return False
+        if outcome is Outcome.TIMED_OUT and self._is_short(counters, seconds):
+            return False
         failed = outcome is not Outcome.WHOLE
         self._add_failure(name, counters, failed, outcome)
         if failed and outcome is not Outcome.TIMED_OUT:
@@ -140,6 +142,13 @@
         # Twice the median of the others: when most fail, the cause is a shared one.
         return min(1.0, drift + 2 * median_low(rates))
 
+    def _is_short(self, counters: Counters, seconds: float) -> bool:
+        # A request that waited long before it was sent had too little time left.
+        self._refresh()
+        if len(self._pool) - len(counters.latencies) < self._thresholds.pool:
+            return False
+        return self._rank(counters, seconds) <= self._thresholds.rank_drift
+
     def _is_overloaded(self, name: str) -> bool:
         loads = [item.load for key, item in self._counters.items() if key != name]
         return bool(loads) and median_low(loads) > OVERLOAD
