Test each rule of the ownership protocol by itself

Change: hand-overs in the state machine start at an instance that acts, and a focused test covers every rule that a mutant removes.

Conclusion: each rule has a test in its own library beside the replay.

--- a/libraries/ownership/shallotspindle_ownership/simulation_test.py
+++ b/libraries/ownership/shallotspindle_ownership/simulation_test.py
@@ -60,6 +60,11 @@
         self.fleet.read_table(name)
         self.fleet.renew(name, outcome)
 
+    def find_holder(self):
+        """Return an instance that acts, so that most hand-overs are possible."""
+        acting = [name for n in PARTITIONS for name in self.fleet.find_acting(n)]
+        return acting[0] if acting else NAMES[0]
+
     def observe(self):
         for name in NAMES:
             for other in NAMES:
@@ -71,19 +76,22 @@
         self.fleet.acquire(name, PARTITIONS, outcome)
         self.fleet.record(name, outcome)
 
-    @rule(name=names, successor=names, outcome=outcomes, arrives=st.booleans())
-    def hand_over(self, name, successor, outcome, arrives):
+    @rule(successor=names, outcome=outcomes, arrives=st.booleans())
+    def hand_over(self, successor, outcome, arrives):
+        name = self.find_holder()
         self.fleet.offer(name, successor, PARTITIONS)
         if not self.fleet.hand_over(name, successor, outcome):
             self.fleet.hand_over_alone(name, successor)
         if arrives and self.fleet.messages:
             self.fleet.deliver(0)
 
-    @rule(name=names, successor=names, seconds=silences, arrives=st.booleans())
-    def hand_over_alone(self, name, successor, seconds, arrives):
+    @rule(successor=names, seconds=silences, arrives=st.booleans())
+    def hand_over_alone(self, successor, seconds, arrives):
         """Stop an instance that the store has not answered for a while."""
+        name = self.find_holder()
         self.fleet.advance(seconds)
-        self.fleet.renew(successor, Outcome.ANSWERED)
+        if name != successor:
+            self.fleet.renew(successor, Outcome.ANSWERED)
         self.fleet.offer(name, successor, PARTITIONS)
         self.fleet.hand_over_alone(name, successor)
         if arrives and self.fleet.messages:
@@ -146,6 +154,36 @@
         assert fleet.nodes["a"].rights.held[0].epoch == 2
 
 
+class TestHandOver:
+    def test_needs_the_store_in_the_quiet_period(self):
+        fleet = start(0)
+        fleet.offer("a", "b", [0])
+        assert not fleet.hand_over_alone("a", "b")
+        assert fleet.find_acting(0) == ["a"]
+
+    def test_unrecorded_right_ends_with_the_horizon_of_the_former_holder(self):
+        fleet = start(0)
+        fleet.advance(HORIZON - 1)
+        fleet.renew("b", Outcome.ANSWERED)
+        fleet.offer("a", "b", [0])
+        fleet.hand_over_alone("a", "b")
+        assert fleet.deliver(0)
+        assert fleet.find_acting(0) == ["b"]
+        fleet.advance(1)
+        assert fleet.find_acting(0) == []
+
+    def test_offer_is_forgotten_at_a_lapse(self):
+        # Guards against an entry that an observer takes over at the same moment.
+        fleet = start(0)
+        fleet.offer("a", "b", [0])
+        fleet.hand_over("a", "b", Outcome.DELAYED)
+        fleet.advance(HORIZON)
+        fleet.renew("b", Outcome.ANSWERED)
+        fleet.land(0)
+        fleet.read_table("b")
+        assert fleet.find_acting(0) == []
+
+
 class TestLostHandOver:
     def test_without_the_store_nobody_acts_until_the_lapse(self):
         fleet = start(0)
@@ -209,6 +247,7 @@
         # Guards against a counter that was written after the holder left phase 1.
         fleet = start(0)
         fleet.advance(sessions.QUIET_SECONDS)
+        fleet.observe("c", "a")
         fleet.renew("b", Outcome.ANSWERED)
         fleet.renew("a", Outcome.ANSWER_LOST)
         fleet.observe("c", "a")
@@ -228,6 +267,12 @@
         assert fleet.take_over("b", "a", Outcome.ANSWERED)
         assert fleet.find_acting(0) == ["b"]
 
+    def test_waits_for_the_whole_horizon(self):
+        fleet = start(0)
+        fleet.advance(HORIZON)
+        fleet.renew("b", Outcome.ANSWERED)
+        assert not fleet.take_over("b", "a", Outcome.ANSWERED)
+
     def test_the_simulation_notices_two_holders(self):
         # Guards against a simulation that cannot fail.
         fleet = start(0)
