--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -86,6 +86,14 @@
 
 
 def read_all(fleet: processes.Fleet) -> list[usage.Usage]:
+    """Return the totals of all daemons.
+
+    :raises RuntimeError: when one has ended, with its status and last log lines.
+    """
+    for entry in fleet.entries:
+        status = entry.process.returncode
+        if status is not None:
+            raise RuntimeError(f"{entry.name} ended: {status} {''.join(entry.log)}")
     return [usage.read(entry.process.pid) for entry in fleet.entries]
 
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,6 +16,8 @@
 import sizes
 from cyclopts import App
 
+from shallotspindle_bench import scenarios
+
 app = App(name="fleet", help="Runs a fleet on loopback.")
 
 
@@ -41,6 +43,20 @@
         print(json.dumps({"replaced": entry.describe()}), flush=True)
 
 
+def read_teams(path: Path) -> tuple[sizes.Team, ...]:
+    """Return the teams of a scenario, with the rates that it states.
+
+    :raises SystemExit: with all failures of the file.
+    """
+    loaded = scenarios.load_scenario(path)
+    if loaded.is_error():
+        sys.exit("\n".join(map(str, loaded.error)))
+    return tuple(
+        sizes.Team(team.name, team.key, team.rate or sizes.RATE, team.burst)
+        for team in loaded.ok.teams
+    )
+
+
 async def run(
     fleet: processes.Fleet, entries: int, live: int, slots: int, service_time: float
 ) -> None:
@@ -76,6 +92,7 @@
     slots: int = 2,
     service_time: float = 0.002,
     rate: float = sizes.RATE,
+    scenario: Path | None = None,
 ) -> None:
     """Start stand-ins and daemons, publish a bundle and print the addresses.
 
@@ -87,8 +104,11 @@
     :param slots: requests that an upstream runs at the same time.
     :param service_time: time of a request in an upstream, in seconds.
     :param rate: rate and burst of each team, in requests a second.
+    :param scenario: scenario file whose teams, keys, rates and bursts are used instead
+        of ``teams`` and ``rate``.
     """
-    size = sizes.Size(teams, routes, sizes.parse_services(services), rate)
+    named = read_teams(scenario) if scenario else ()
+    size = sizes.Size(teams, routes, sizes.parse_services(services), rate, named)
     with tempfile.TemporaryDirectory() as folder:
         fleet = processes.Fleet(Path(folder), size)
         asyncio.run(run(fleet, entries, live, slots, service_time))
--- a/tools/sizes.py
+++ b/tools/sizes.py
@@ -10,18 +10,30 @@
 DOMAINS = "abcdefgh"
 
 
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team with its one key, its rate in requests a second and its burst."""
+
+    name: str
+    key: str
+    rate: float
+    burst: float
+
+
 @dataclass(frozen=True, slots=True)
 class Size:
     """Numbers of things in a bundle.
 
     :param services: upstreams of each named service.
     :param rate: rate and burst of each team, in requests a second.
+    :param named: teams to use instead of numbered ones.
     """
 
     teams: int = 8
     routes: int = 2
     services: tuple[tuple[str, int], ...] = (("catalogue", 20), ("photos", 6))
     rate: float = RATE
+    named: tuple[Team, ...] = ()
 
     @property
     def upstreams(self) -> int:
@@ -46,10 +58,22 @@
     return [name for row in rows for name in row if name is not None]
 
 
-def build_team(number: int, rate: float) -> dict:
-    name = f"team-{number}"
-    digest = digests.digest_key(bytes.fromhex(SALT), f"key-{name}").hex()
-    return {"name": name, "rate": rate, "burst": rate, "key_digests": [digest]}
+def list_teams(size: Size) -> tuple[Team, ...]:
+    """Return the named teams, or ``team-1`` with ``key-team-1`` and so on."""
+    names = (f"team-{n}" for n in range(1, size.teams + 1))
+    return size.named or tuple(
+        Team(name, f"key-{name}", size.rate, size.rate) for name in names
+    )
+
+
+def build_team(team: Team) -> dict:
+    digest = digests.digest_key(bytes.fromhex(SALT), team.key).hex()
+    return {
+        "name": team.name,
+        "rate": team.rate,
+        "burst": team.burst,
+        "key_digests": [digest],
+    }
 
 
 def build_service(
@@ -85,11 +109,12 @@
     """Return the contents of a bundle file.
 
     :param addresses: ``ip:port`` of the upstreams that run.
-    :param version: also changes one team's rate, so that no two bundles are equal.
+    :param version: the first version has the stated rates; each later one adds to
+        one team's rate, so that no two bundles are equal.
     """
     shared = sorted(addresses.values())
-    teams = [build_team(n, size.rate) for n in range(1, size.teams + 1)]
-    teams[0]["rate"] += version
+    teams = [build_team(team) for team in list_teams(size)]
+    teams[0]["rate"] += version - 1
     return {
         "version": version,
         "salt": SALT,
