Hand partitions over in groups and wait for a holder for a moment

Cause: during a rolling replacement of four instances under load, 64 reads were refused with limit-unavailable: 341 partitions were handed over in one group and had no holder until their turn came. Change: groups of 16 partitions; admission and claims are asked again for at most 1 s when no holder acts. Ruled out: a longer wait alone, since the gap grows with the group.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -141,7 +141,7 @@
     gate = Gate(clock, standalone.AlwaysFresh())
     claims = standalone.LocalClaims()
     admission = standalone.UnlimitedAdmission()
-    pipeline = Pipeline(tasks, gate, admission, claims, executor, lifecycle)
+    pipeline = Pipeline(tasks, gate, admission, claims, executor, lifecycle, clock)
     listener = socket.create_server(("127.0.0.1", 0))
     frontend = Frontend(pipeline, lifecycle, RequestMetrics(), listener)
     await forwarder.start()
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -83,6 +83,7 @@
             self._fleet.claims,
             executor,
             self._lifecycle,
+            self._clock,
         )
         context, tasks = self._build_tls()
         frontend = Frontend(
--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -41,7 +41,7 @@
     """How an attempt went.
 
     :param response: what the caller got, if anything was sent to it.
-    :param stored: the whole answer, if it is short enough to be kept.
+    :param stored: the answer to a request with an idempotency key, if it is whole.
     :param not_run: whether the upstream certainly did not run the request.
     """
 
@@ -146,9 +146,9 @@
         parts: list[bytes] = []
         size = 0
         async for chunk in answer.content.iter_chunked(STREAM_CHUNK_BYTES):
-            size += len(chunk)
             if self._call.keyed and size <= STORED_BYTES:
                 parts.append(chunk)
+            size += len(chunk)
             if not gone:
                 gone = not await self._write(response.write(chunk))
         if not gone:
@@ -156,7 +156,9 @@
         attempt.result = Result.WHOLE
         if answer.status >= SERVER_ERROR:
             attempt.result = Result.ERROR
-        if self._call.keyed and size <= STORED_BYTES:
+        if self._call.keyed:
+            # A body above the limit is cut here and dropped by the claims, which then
+            # say that the request completed.
             fields = tuple((k, v) for k, v in kept.items())
             attempt.stored = StoredResponse(answer.status, fields, b"".join(parts))
 
--- a/libraries/entry/shallotspindle_entry/pipeline.py
+++ b/libraries/entry/shallotspindle_entry/pipeline.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TypeVar
 
 from aiohttp import web
 
+from shallotspindle_core.clock import Clock
 from shallotspindle_core.failures import FailureError
 from shallotspindle_entry import calls, headers, problems
 from shallotspindle_entry.bodies import KEPT_BYTES, KEYED_BYTES
@@ -22,11 +25,16 @@
     Claims,
     ClaimState,
     LimitExceeded,
+    LimitUnavailable,
     StoredResponse,
 )
 from shallotspindle_entry.lifecycle import Lifecycle
 from shallotspindle_entry.problems import Problem
 
+T = TypeVar("T")
+# A hand-over of a group of partitions takes some tens of milliseconds.
+MOVE_SECONDS = 1.0
+MOVE_PAUSE_SECONDS = 0.03
 CALL = web.RequestKey("call", Call)
 PROBLEM = web.RequestKey("problem", Problem)
 CLAIM_PROBLEMS = {
@@ -58,6 +66,7 @@
         claims: Claims,
         executor: Executor,
         lifecycle: Lifecycle,
+        clock: Clock,
     ) -> None:
         self._configuration = configuration
         self._gate = gate
@@ -65,6 +74,7 @@
         self._claims = claims
         self._executor = executor
         self._lifecycle = lifecycle
+        self._clock = clock
 
     async def serve(self, request: web.Request) -> web.StreamResponse | Problem:
         """Answer a request; the request id is set on every answer."""
@@ -97,10 +107,28 @@
         running = asyncio.create_task(self._run_with_effect(call, request))
         return await asyncio.shield(running)
 
+    async def _await_holder(
+        self,
+        call: Call,
+        ask: Callable[[], Awaitable[T]],
+        is_unavailable: Callable[[T], bool],
+    ) -> T:
+        """Ask again for a moment: a partition that moves has no holder meanwhile."""
+        until = min(call.deadline, self._clock.boottime() + MOVE_SECONDS)
+        while True:
+            answer = await ask()
+            if not is_unavailable(answer) or self._clock.boottime() >= until:
+                return answer
+            await asyncio.sleep(MOVE_PAUSE_SECONDS)
+
     async def _acquire(self, call: Call) -> Problem | None:
         if not call.team:
             return None
-        answer = await self._admission.acquire(call.team, call.deadline)
+        answer = await self._await_holder(
+            call,
+            lambda: self._admission.acquire(call.team, call.deadline),
+            lambda found: isinstance(found, LimitUnavailable),
+        )
         if isinstance(answer, Admitted):
             return None
         if isinstance(answer, LimitExceeded):
@@ -120,8 +148,11 @@
 
     async def _claim(self, call: Call) -> web.StreamResponse | Problem | None:
         """Ask for the right to run the call; None means that it was granted."""
-        answer = await self._claims.claim(
-            call.team, call.key, calls.digest_request(call), call.deadline
+        digest = calls.digest_request(call)
+        answer = await self._await_holder(
+            call,
+            lambda: self._claims.claim(call.team, call.key, digest, call.deadline),
+            lambda found: found.state is ClaimState.UNAVAILABLE,
         )
         if answer.state is ClaimState.GRANTED:
             return None
--- a/libraries/entry/shallotspindle_entry/review.py
+++ b/libraries/entry/shallotspindle_entry/review.py
@@ -191,4 +191,4 @@
         live = {name for name in self._live if name in usable} | {me}
         moves = placement.choose_moves(table, me, live)
         for successor, partitions in transfers.group(moves).items():
-            await transfers.hand_over(task, successor, partitions)
+            await transfers.hand_over_groups(task, successor, partitions)
--- a/libraries/entry/shallotspindle_entry/transfers.py
+++ b/libraries/entry/shallotspindle_entry/transfers.py
@@ -20,6 +20,8 @@
 
 REPLY_SECONDS = 1.0
 MESSAGE_TRIES = 3
+# 341 partitions in one group had no holder for more than a second.
+GROUP_PARTITIONS = 16
 WRITE_TRIES = 10
 PAUSE_SECONDS = 0.5
 # The last instances of a fleet that stops as a whole find nobody to hand over to.
@@ -48,7 +50,7 @@
         loads = tables.count_holdings(task.table)
         placed = placement.place(sorted(task.rights.held), sorted(peers), loads)
         for successor, partitions in group(placed).items():
-            lost = await hand_over(task, successor, partitions)
+            lost = await hand_over_groups(task, successor, partitions)
             if lost is None:
                 refused.add(successor)
             given_up += lost or 0
@@ -64,6 +66,27 @@
     return given_up + len(task.rights.held)
 
 
+async def hand_over_groups(
+    task: "OwnershipTask", successor: Incarnation, partitions: tuple[int, ...]
+) -> int | None:
+    """Hand partitions over in small groups; see ``hand_over``."""
+    given_up = 0
+    for batch in split_groups(partitions):
+        lost = await hand_over(task, successor, batch)
+        if lost is None:
+            return None
+        given_up += lost
+    return given_up
+
+
+def split_groups(partitions: tuple[int, ...]) -> list[tuple[int, ...]]:
+    """Cut partitions into groups that are without a holder for a short time only."""
+    return [
+        partitions[n : n + GROUP_PARTITIONS]
+        for n in range(0, len(partitions), GROUP_PARTITIONS)
+    ]
+
+
 async def hand_over(
     task: "OwnershipTask", successor: Incarnation, partitions: tuple[int, ...]
 ) -> int | None:
