Answer operators in the form that their command reads

Cause: the daemon named active upstreams "active" and listed reasons, while `shallotspindle upstreams` expects "healthy" and one reason; the withdrawal endpoint stood twice. Change: describe_upstream converts; the tested endpoint serves POST /withdrawals; the local decisions moved into a test file.

--- a/libraries/entry/shallotspindle_entry/administration.py
+++ b/libraries/entry/shallotspindle_entry/administration.py
@@ -8,7 +8,7 @@
 from aiomisc import Service
 
 Answer = Callable[[], Awaitable[tuple[int, Any]]]
-Receiver = Callable[[bytes], Awaitable[tuple[int, Any]]]
+Receiver = Callable[[web.Request], Awaitable[web.Response]]
 
 
 class Administration(Service):
@@ -44,16 +44,8 @@
         self._application.router.add_get(path, handle)
 
     def add_receiver(self, path: str, receiver: Receiver) -> None:
-        """Accept statements.
-
-        :param receiver: gets the body, returns the status and the value to answer.
-        """
-
-        async def handle(request: web.Request) -> web.Response:
-            status, value = await receiver(await request.read())
-            return web.json_response(value, status=status)
-
-        self._application.router.add_post(path, handle)
+        """Accept statements of operators."""
+        self._application.router.add_post(path, receiver)
 
     async def start(self) -> None:
         self._runner = web.AppRunner(self._application, access_log=None)
--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -16,7 +16,7 @@
     Team,
     Upstream,
 )
-from shallotspindle_entry import bundle_loading, standalone
+from shallotspindle_entry import bundle_loading, local_test
 from shallotspindle_entry.bundle_loading import Configuration
 from shallotspindle_entry.execution import Executor
 from shallotspindle_entry.forwarding import Forwarder
@@ -136,11 +136,11 @@
     clock = SystemClock()
     lifecycle = Lifecycle()
     forwarder = Forwarder()
-    balancer = standalone.LocalBalancer(tasks, random.Random(1))
+    balancer = local_test.LocalBalancer(tasks, random.Random(1))
     executor = Executor(balancer, forwarder, clock, random.Random(1))
-    gate = Gate(clock, standalone.AlwaysFresh())
-    claims = standalone.LocalClaims()
-    admission = standalone.UnlimitedAdmission()
+    gate = Gate(clock, local_test.AlwaysFresh())
+    claims = local_test.LocalClaims()
+    admission = local_test.UnlimitedAdmission()
     pipeline = Pipeline(tasks, gate, admission, claims, executor, lifecycle, clock)
     listener = socket.create_server(("127.0.0.1", 0))
     frontend = Frontend(pipeline, lifecycle, RequestMetrics(), listener)
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 import ssl
-from dataclasses import asdict
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +17,6 @@
 from shallotspindle_entry import certificates
 from shallotspindle_entry.administration import Administration
 from shallotspindle_entry.balancing import TakeSnapshot
-from shallotspindle_entry.bundle_messages import WithdrawalGiven
 from shallotspindle_entry.certificates import CertificateReloader
 from shallotspindle_entry.coordination import Coordination
 from shallotspindle_entry.execution import Executor
@@ -26,8 +25,9 @@
 from shallotspindle_entry.gate import Gate
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import Pipeline
+from shallotspindle_entry.withdrawal_endpoint import take_withdrawal
+from shallotspindle_health.detection import Description, State
 from shallotspindle_platform.clock import SystemClock
-from shallotspindle_settings import withdrawal
 from shallotspindle_settings.daemon import Address, EntrySettings
 from shallotspindle_telemetry.metrics import RequestMetrics
 
@@ -39,6 +39,19 @@
     return socket.create_server((address.host, address.port), backlog=1024)
 
 
+def describe_upstream(service: str, item: Description) -> dict[str, Any]:
+    """Return the state of an upstream in the form that operators read."""
+    state = "healthy" if item.state is State.ACTIVE else item.state.value
+    return {
+        "service": service,
+        "name": item.name,
+        "state": state,
+        "reason": "; ".join(item.reasons),
+        "score": round(item.score, 3),
+        "shed": item.shed,
+    }
+
+
 class Daemon:
     """One instance: its tasks and the order in which it stops."""
 
@@ -69,7 +82,9 @@
         administration.add_answer("/ready", self.describe_readiness)
         administration.add_answer("/state", self.describe_state)
         administration.add_answer("/upstreams", self.describe_upstreams)
-        administration.add_receiver("/withdrawals", self.receive_withdrawal)
+        administration.add_receiver(
+            "/withdrawals", partial(take_withdrawal, self._configuration)
+        )
         return administration
 
     def _build_frontend(self) -> tuple[Frontend, list[Service]]:
@@ -111,7 +126,7 @@
         """Return the health of all upstreams with the reasons of ejections."""
         services = await self._fleet.balancing.ask(TakeSnapshot())
         upstreams = [
-            {"service": service.service, **asdict(item)}
+            describe_upstream(service.service, item)
             for service in services
             for item in service.upstreams
         ]
@@ -145,16 +160,6 @@
             "ownership_phase": ownership.find_phase().value,
         }
 
-    async def receive_withdrawal(self, data: bytes) -> tuple[int, Any]:
-        """Take a signed withdrawal from an operator, with or without the store."""
-        parsed = withdrawal.parse_withdrawal("withdrawal", data)
-        if parsed.is_error():
-            return 422, {"failures": [str(item) for item in parsed.error]}
-        failure = await self._configuration.ask(WithdrawalGiven(parsed.ok))
-        if failure is not None:
-            return 403, {"failures": [str(failure)]}
-        return 200, {"instance": self._settings.name}
-
     async def run(self) -> None:
         """Run until a signal asks for the planned stop, then stop."""
         stopped = asyncio.Event()
--- a/libraries/entry/shallotspindle_entry/standalone.py
+++ b/libraries/entry/shallotspindle_entry/local_test.py
@@ -1,4 +1,4 @@
-"""Local forms of the fleet's decisions, for an instance without peers."""
+"""Local forms of the fleet's decisions, for tests of the edge."""
 
 import asyncio
 from collections import Counter
