--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -188,7 +188,7 @@
 
     async def prepare(self) -> None:
         self._loops = [
-            asyncio.create_task(self._repeat(self.renew, sessions.RENEWAL_SECONDS)),
+            asyncio.create_task(self._repeat(self.renew, self._find_renewal_interval)),
             asyncio.create_task(self._repeat_reviews()),
         ]
 
@@ -326,7 +326,7 @@
         return await self.ask(PeerMessage(sender, message))
 
     async def _repeat(
-        self, step: Callable[[], Awaitable[bool]], seconds: float
+        self, step: Callable[[], Awaitable[bool]], interval: Callable[[], float]
     ) -> None:
         while True:
             try:
@@ -334,14 +334,17 @@
             except Exception:
                 logging.exception("a step of the ownership task failed")
                 done = False
-            wait = seconds if done else min(seconds, RETRY_SECONDS)
+            wait = interval() if done else min(interval(), RETRY_SECONDS)
             # Spreads the calls of instances that started together.
             await self.sleep(wait * (0.9 + 0.1 * self.source.random()))
 
+    def _find_renewal_interval(self) -> float:
+        return sessions.find_renewal_interval(len(self.link.list_peers()) + 1)
+
     async def _repeat_reviews(self) -> None:
         while self.find_phase() is Phase.LAPSED and not self.rights.session.counter:
             await self.sleep(START_SECONDS)
-        await self._repeat(self.review, RETRY_SECONDS)
+        await self._repeat(self.review, lambda: RETRY_SECONDS)
 
     def _take_told(self, told: TableTold) -> None:
         table = self._sharing.take(told)
--- a/libraries/entry/shallotspindle_entry/review.py
+++ b/libraries/entry/shallotspindle_entry/review.py
@@ -30,7 +30,7 @@
 TABLE_SECONDS = 10.0
 # At 770 instances the table has less than 20 KB; read every 31 s it takes 0.7 KB/s.
 TABLE_SECONDS_PER_INSTANCE = 0.04
-OVERDUE_SECONDS = 1.5 * sessions.RENEWAL_SECONDS
+OVERDUE_SECONDS = 1.5 * sessions.RENEWAL_MAX_SECONDS
 
 
 class Reviewer:
--- a/libraries/model/shallotspindle_model/replay.py
+++ b/libraries/model/shallotspindle_model/replay.py
@@ -10,7 +10,7 @@
 from shallotspindle_core.identifiers import Instance
 from shallotspindle_idempotency import ledger as ledgers
 from shallotspindle_idempotency.ledger import RETENTION_SECONDS, Ledger
-from shallotspindle_idempotency.messages import Abandon, Claim, Granted
+from shallotspindle_idempotency.messages import Abandon, Claim, Claimed
 from shallotspindle_model import lapse, termination
 from shallotspindle_model.claims import HOLDERS
 from shallotspindle_model.specification import Removed, Specification
@@ -216,7 +216,7 @@
             return False
         message = Claim(PARTITION, self.KEY, b"body", attempt)
         ledger = self.ledgers[holder]
-        return ledger.claim(message, self._name(attempt), self.now) == Granted()
+        return ledger.claim(message, self._name(attempt), self.now) == Claimed()
 
     def _move(self, label: str) -> bool:
         match label:
--- a/libraries/ownership/shallotspindle_ownership/sessions.py
+++ b/libraries/ownership/shallotspindle_ownership/sessions.py
@@ -7,13 +7,26 @@
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
-RENEWAL_SECONDS = 30.0
+RENEWAL_MIN_SECONDS = 5.0
+RENEWAL_MAX_SECONDS = 30.0
+# 25 renewals a second of the whole fleet until the longest interval is reached.
+RENEWAL_SECONDS_PER_INSTANCE = 0.04
 QUIET_SECONDS = 300.0
 HORIZON_SECONDS = 8 * 3600.0
 # The record outlives the horizon, so that both proofs can read the counter.
 RECORD_LEASE_SECONDS = 9 * 3600
 
 
+def find_renewal_interval(instances: int) -> float:
+    """Return the time between two renewals, in seconds.
+
+    A proof of termination needs a read of the counter before the last two renewals.
+    With short intervals an observer soon has it, also of an instance that is young.
+    """
+    wanted = RENEWAL_SECONDS_PER_INSTANCE * instances
+    return min(max(wanted, RENEWAL_MIN_SECONDS), RENEWAL_MAX_SECONDS)
+
+
 class Phase(IntEnum):
     """What the holder of a session may do."""
 
