Bound the traffic of suspicions

Cause: every instance passed on each weak suspicion; the traffic grew with that of the whole fleet. Change: one report a second and instance, 10 at once, with at most 16 suspicions. A report of one suspicion takes 105 bytes, one of sixteen 953.

--- a/libraries/health/shallotspindle_health/detection_test.py
+++ b/libraries/health/shallotspindle_health/detection_test.py
@@ -239,3 +239,15 @@
         overview.attribute(77, "u2", Outcome.WHOLE, 1.0)
         overview.attribute(77, "u1", Outcome.RESET, 2.0)
         assert not overview.is_held(77, 2.0)
+
+
+class TestReports:
+    def test_traffic_is_bounded_when_everything_is_suspected(self):
+        # Guards against suspicions that use up the traffic that control may cost.
+        overview = build()
+        relayed = 0
+        for step in range(1000):
+            now = step * 0.06
+            message = report(step, [f"u{step % 6}"], domain=f"d{step % 3}")
+            relayed += len(overview.receive(message, now))
+        assert relayed <= 10 + 60
--- a/libraries/health/shallotspindle_health/overview.py
+++ b/libraries/health/shallotspindle_health/overview.py
@@ -16,6 +16,11 @@
 from shallotspindle_health.suspicions import REPORTERS_RELAYED, Board
 
 REFRESH_SECONDS = 5.0
+# Bounds what suspicions cost; a report of one takes 105 bytes, one of sixteen 953.
+REPORTS_PER_SECOND = 1.0
+REPORTS_AT_ONCE = 10.0
+# Bounds the size of a report when a failure domain is lost; the worst come first.
+SUSPICIONS_IN_REPORT = 16
 Message = SuspicionReport | CrashNotice
 
 
@@ -48,6 +53,8 @@
         self._sequence = 0
         self._told: dict[tuple[str, str], bool] = {}
         self._told_at = 0.0
+        self._tokens = REPORTS_AT_ONCE
+        self._filled_at = 0.0
         self.doubtful = False
 
     def update(self, members: Iterable[Members], now: float) -> None:
@@ -115,7 +122,7 @@
         for service in {item.service for item in report.suspicions}:
             if service in self._services:
                 self._services[service].evaluate(now)
-        return [report] if relayed else []
+        return [report] if relayed and self._take_token(now) else []
 
     def _list_held(self) -> dict[tuple[str, str], bool]:
         return {
@@ -130,12 +137,16 @@
         changed = held != self._told
         if not changed and (not held or now - self._told_at < REFRESH_SECONDS):
             return []
-        suspicions = tuple(
+        found = [
             item
             for health in self._services.values()
             if not health.settled
             for item in health.list_suspicions()
-        )
+        ]
+        found.sort(key=lambda item: (not item.ejected, -item.score, item.upstream))
+        suspicions = tuple(found[:SUSPICIONS_IN_REPORT])
+        if not self._take_token(now):
+            return []
         self._told, self._told_at = held, now
         counts = [self._board.count_reporters(item, now) for item in suspicions]
         if counts and min(counts) >= REPORTERS_RELAYED:
@@ -149,6 +160,15 @@
             )
         ]
 
+    def _take_token(self, now: float) -> bool:
+        gained = (now - self._filled_at) * REPORTS_PER_SECOND
+        self._tokens = min(REPORTS_AT_ONCE, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     def _acquit(self, names: frozenset[str], now: float) -> None:
         for name in names:
             for health in self._services.values():
