Keep the floor while ejections end

Cause: a state machine found that an ejection which ends in the same step as another begins left less than the floor in use, since the upstream that turned cold was counted as present. An upstream that was ejected while cold was counted as present too.

--- a/libraries/health/shallotspindle_health/detection.py
+++ b/libraries/health/shallotspindle_health/detection.py
@@ -62,6 +62,7 @@
 
     :param own: whether the ejection rests on this instance's evidence.
     :param score: evidence of this instance when it ejected the upstream.
+    :param was_cold: whether it was ejected while it ramped; it stays absent then.
     """
 
     state: State
@@ -73,6 +74,7 @@
     next_trial: float = 0.0
     good_trials: int = 0
     trial_sent: bool = False
+    was_cold: bool = False
     leaving: bool = False
 
 
@@ -217,7 +219,9 @@
         claims = self._board.group(self._service, now)
         wanted = self._find_wanted(claims)
         chosen = floor.select_ejections(
-            self._list_candidates(claims, wanted), self._find_present(), self._floor
+            self._list_candidates(claims, wanted),
+            self._find_present(wanted),
+            self._floor,
         )
         for name, standing in self._standings.items():
             self._advance(name, standing, wanted, chosen, now)
@@ -257,14 +261,21 @@
                 candidates.append(Candidate(name, wanted.get(name, False), score))
         return candidates
 
-    def _find_present(self) -> frozenset[str]:
-        absent = (State.DRAINING, State.RAMPING)
+    def _find_present(self, wanted: Mapping[str, bool]) -> frozenset[str]:
         return frozenset(
             name
             for name, standing in self._standings.items()
-            if standing.state not in absent
+            if not self._is_absent(name, standing, wanted)
         )
 
+    def _is_absent(
+        self, name: str, standing: Standing, wanted: Mapping[str, bool]
+    ) -> bool:
+        if standing.state is State.EJECTED:
+            # Nobody wants the ejection any longer, so that the upstream turns cold.
+            return standing.was_cold or name not in wanted
+        return standing.state in {State.DRAINING, State.RAMPING}
+
     def _find_score(self, name: str, standing: Standing) -> float:
         if standing.state is State.EJECTED and standing.own:
             return standing.score
@@ -308,6 +319,7 @@
         standing.ejections += 1
         standing.good_trials = 0
         standing.trial_sent = False
+        standing.was_cold = standing.state is State.RAMPING
         self._delay_trials(standing, now)
         self._move(standing, State.EJECTED, now)
 
