Let an interrupted capacity measurement go on

A start that is cancelled stops its process; before, an interrupt during parallel starts left five daemons behind.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -145,30 +145,44 @@
     }
 
 
-async def measure(seconds: float) -> list[dict]:
-    found = []
-    for point in list_points(seconds):
+def write(output: Path, seconds: float, points: list[dict]) -> None:
+    command = f"python tools/capacity.py --seconds {seconds:g}"
+    data = {"command": command, "points": points}
+    output.write_text(json.dumps(data, indent=1, sort_keys=True) + "\n")
+
+
+def read_measured(output: Path) -> list[dict]:
+    """Return the points of an interrupted run."""
+    return json.loads(output.read_text())["points"] if output.exists() else []
+
+
+async def measure(seconds: float, output: Path, found: list[dict]) -> None:
+    """Measure the points that are missing and write the file after each.
+
+    :param found: the first points, measured before.
+    """
+    for point in list(list_points(seconds))[len(found) :]:
         found.append(await measure_point(point, seconds))
         print(point.axis, point.value, json.dumps(found[-1]), flush=True)
-    return found
+        write(output, seconds, found)
 
 
 @app.default
 def main(
-    *, seconds: float = 10.0, output: Path = ROOT / "measurements/control.json"
+    *,
+    seconds: float = 10.0,
+    output: Path = ROOT / "measurements/control.json",
+    resume: bool = False,
 ) -> None:
     """Measure all points and write the figures.
 
     :param seconds: length of each window.
     :param output: JSON file.
+    :param resume: go on after the points that the file has; give the same length.
     """
+    found = read_measured(output) if resume else []
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        points = runner.run(measure(seconds))
-    data = {
-        "command": f"python tools/capacity.py --seconds {seconds:g}",
-        "points": points,
-    }
-    output.write_text(json.dumps(data, indent=1, sort_keys=True) + "\n")
+        runner.run(measure(seconds, output, found))
 
 
 if __name__ == "__main__":
--- a/tools/capacity_tables.py
+++ b/tools/capacity_tables.py
@@ -287,7 +287,9 @@
         "roles": make_roles(points),
         "store": make_store(points),
         "events": make_events(points),
-        "commands": f"`{control['command']}`, `{daemon['command']}`",
+        "commands": f"`{control['command']}` ({len(points)} points, "
+        f"{len(slopes.find_bases(points))} of them at the base size) and "
+        f"`{daemon['command']}`",
     }
 
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -46,14 +46,18 @@
 async def start_module(
     name: str, *arguments: str, **options: int
 ) -> asyncio.subprocess.Process:
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        name,
-        *arguments,
-        stdin=asyncio.subprocess.DEVNULL,
-        **options,
+    """Start a module; a cancelled start leaves no process behind."""
+    command = (sys.executable, "-m", name, *arguments)
+    start = asyncio.create_task(
+        asyncio.create_subprocess_exec(
+            *command, stdin=asyncio.subprocess.DEVNULL, **options
+        )
     )
+    try:
+        return await asyncio.shield(start)
+    except asyncio.CancelledError:
+        await stop(await start)
+        raise
 
 
 async def stop(process: asyncio.subprocess.Process) -> None:
