Use the retry rules of the retries library in the front end

Cause: the front end had its own copy of the backoff and of what may be retried. Change: eligibility and backoff of shallotspindle_retries decide. Conclusion: one place decides on retries.

--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -19,6 +19,7 @@
 from shallotspindle_entry.forwarding import Forwarder
 from shallotspindle_entry.headers import Origin
 from shallotspindle_entry.interfaces import Result, Sample, StoredResponse
+from shallotspindle_retries import eligibility
 
 STORED_BYTES = 64 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
@@ -43,16 +44,23 @@
     :param response: what the caller got, if anything was sent to it.
     :param stored: the answer to a request with an idempotency key, if it is whole.
     :param not_run: whether the upstream certainly did not run the request.
+    :param status: status of an answer that was not given to the caller.
     """
 
     result: Result
     response: web.StreamResponse | None = None
     stored: StoredResponse | None = None
     not_run: bool = False
+    status: int | None = None
     load: float | None = None
     draining: bool = False
     seconds: float = 0.0
 
+    @property
+    def outcome(self) -> dict[str, str]:
+        """What the upstream stated of the request, as the retry rules read it."""
+        return {eligibility.OUTCOME_HEADER: eligibility.NOT_RUN} if self.not_run else {}
+
     def describe(self) -> Sample:
         """Return what the attempt says about the upstream."""
         return Sample(self.result, self.seconds, self.load, self.draining)
@@ -126,6 +134,7 @@
                 attempt.not_run = headers.says_not_run(answer.headers)
                 if attempt.not_run or call.idempotent:
                     attempt.result = Result.SHED
+                    attempt.status = answer.status
                     await answer.read()
                     return
             await self._relay(answer, attempt)
--- a/libraries/entry/shallotspindle_entry/execution.py
+++ b/libraries/entry/shallotspindle_entry/execution.py
@@ -22,12 +22,7 @@
     StoredResponse,
 )
 from shallotspindle_entry.problems import Outcome, Problem
-
-FIRST_BACKOFF_SECONDS = 0.01
-LONGEST_BACKOFF_SECONDS = 0.25
-MOST_ATTEMPTS = 3
-# Results after which another upstream may do better.
-REPEATABLE = frozenset({Result.SHED, Result.RESET, Result.NOT_CONNECTED})
+from shallotspindle_retries import backoff, eligibility
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,10 +78,11 @@
             tried |= {assigned.upstream.name}
             if last.response is not None:
                 return Executed(last.response, last.stored, last.result)
-            if not self._may_retry(call, last, len(tried)):
+            delay = self._find_delay(call, last, len(tried))
+            if delay is None:
                 problem = self._describe_failure(call, last, may_have_run)
                 return Executed(problem, None, last.result)
-            await self._back_off(len(tried))
+            await asyncio.sleep(delay)
 
     async def _attempt(
         self, exchange: Exchange, call: Call, assigned: Assignment
@@ -102,20 +98,24 @@
         finally:
             self._balancer.finish(assigned, sample)
 
-    def _may_retry(self, call: Call, attempt: Attempt, attempts: int) -> bool:
-        if attempts >= MOST_ATTEMPTS or not call.body.repeatable or call.body.failed:
-            return False
-        if attempt.result not in REPEATABLE:
-            return False
-        if not attempt.not_run and not call.idempotent:
-            return False
-        if self._clock.boottime() >= call.deadline:
-            return False
-        return self._balancer.may_retry(call.route.service)
-
-    async def _back_off(self, attempts: int) -> None:
-        longest = min(FIRST_BACKOFF_SECONDS * 2**attempts, LONGEST_BACKOFF_SECONDS)
-        await asyncio.sleep(longest * self._random.random())
+    def _find_delay(self, call: Call, attempt: Attempt, attempts: int) -> float | None:
+        """Return the wait before a retry, or None if there is none."""
+        if call.body.failed:
+            return None
+        seen = eligibility.Attempt(
+            connected=attempt.result is not Result.NOT_CONNECTED,
+            status=attempt.status,
+            headers=attempt.outcome,
+            answered=attempt.response is not None,
+            resendable=call.body.repeatable,
+        )
+        if not eligibility.may_retry(seen, call.idempotent):
+            return None
+        now = self._clock.boottime()
+        delay = backoff.find_delay(attempts, now, call.deadline, self._random)
+        if delay is None or not self._balancer.may_retry(call.route.service):
+            return None
+        return delay
 
     @staticmethod
     def _describe_refusal(
