Kill an instance only when a proof of its end is possible

Cause: the process test killed an instance that was a few seconds old; no observer had read an older renewal counter, and the take-over then waits for the horizon, as the design page states. Change: the test waits for six renewals; /state shows their number. Conclusion: the check is unchanged, its premise is now met.

--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -157,6 +157,7 @@
             "running": self._lifecycle.running,
             "peers": len(self._fleet.peers.list_peers()),
             "partitions": len(ownership.rights.held),
+            "renewals": ownership.rights.session.counter,
             "ownership_phase": ownership.find_phase().value,
         }
 
--- a/libraries/entry/shallotspindle_entry/daemon_test.py
+++ b/libraries/entry/shallotspindle_entry/daemon_test.py
@@ -19,8 +19,8 @@
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 GUARD_SECONDS = 60
-# Renewals are due every 30 s, and a take-over waits until one is overdue.
 TAKE_OVER_GUARD_SECONDS = 150
+PROVABLE_RENEWALS = 6
 INSTANCES = 4
 SIZE = sizes.Size(teams=6, services=(("catalogue", 3), ("deposits", 2)))
 KEY = "key-team-1"
@@ -250,6 +250,10 @@
         # Guards against a second run by the instances that are left.
         await callers.await_spread()
         first, killed = callers.fleet.entries[0], callers.fleet.entries[-1]
+        async with asyncio.timeout(GUARD_SECONDS):
+            # Observers then have read an older counter, which the proof needs.
+            while (await callers.get_state(killed))["renewals"] < PROVABLE_RENEWALS:
+                await asyncio.sleep(0.2)
         names = [f"killed-{number}" for number in range(12)]
         for name in names:
             await callers.deposit_until_run(killed, name)
