Add pages for operators and embedders

Cause: install, limits, health, planned stops, metrics and embedding had no page. Conclusion: a coordination part can be embedded alone.

--- /dev/null
+++ b/examples/embedding/health.py
@@ -0,0 +1,11 @@
+"""Which bad upstreams may be ejected without falling below a floor."""
+
+from shallotspindle_health import floor
+from shallotspindle_health.floor import Candidate
+
+candidates = [
+    Candidate("stock-1", agreed=False, score=9.0),
+    Candidate("stock-2", agreed=True, score=2.0),
+]
+present = frozenset({"stock-1", "stock-2", "stock-3"})
+print(sorted(floor.select_ejections(candidates, present, floor=2)))
--- /dev/null
+++ b/examples/embedding/limits.py
@@ -0,0 +1,24 @@
+"""One share of a team's limit, kept by the instance that holds its partition."""
+
+from dataclasses import dataclass
+
+from shallotspindle_limits import shares
+from shallotspindle_limits.ledgers import Ledger
+from shallotspindle_limits.records import Granted, Limit
+
+
+@dataclass(frozen=True)
+class OneTeam:
+    """Limits of a program with a single team."""
+
+    def find_limit(self, team: str) -> Limit | None:
+        return Limit(rate=1.0, burst=3.0) if team == "museum" else None
+
+
+ledger = Ledger()
+ledger.learn(OneTeam(), None, now=0.0)
+partition = shares.find_share_partition("museum", 0)
+ledger.gain(partition, epoch=1, state=None, now=0.0)
+for now in (0.0, 20.0, 20.1, 20.2, 20.3):
+    answer = ledger.take("museum", 0, demand=1.0, prepays=False, now=now)
+    print(now, "admitted" if isinstance(answer, Granted) else answer)
--- /dev/null
+++ b/examples/embedding/routing.py
@@ -0,0 +1,10 @@
+"""Finds the route of a request: the longest prefix wins."""
+
+from shallotspindle_bundles.records import Route
+from shallotspindle_routing import routes
+
+table = routes.build_table(
+    [Route("site", "/", "site"), Route("records", "/records", "catalogue")]
+)
+print(routes.match(table, "shop.test", "/records/7", "GET").name)
+print(routes.match(table, "shop.test", "/recordsecret", "GET").name)
