Give upstreams that do not run addresses of their own

Cause: bundles of the capacity tools shared sockets between upstreams, and checks now refuse two upstreams with one address; the merged publish no longer returned what the command used. Change: unique loopback addresses where nothing listens; operate returns the resource usage again.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -100,7 +100,7 @@
     :param teams: teams ``team-1`` and so on, with the keys ``key-team-1`` and so on.
     :param routes: routes; the first of each service is ``/SERVICE``.
     :param services: services with their numbers of upstreams.
-    :param live: upstreams that run; the others of the bundle share their sockets.
+    :param live: upstreams that run; the others have addresses where nothing listens.
     :param slots: requests that an upstream runs at the same time.
     :param service_time: time of a request in an upstream, in seconds.
     :param rate: rate and burst of each team, in requests a second.
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import os
 import re
 import resource
 import secrets
+import subprocess
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -124,25 +126,25 @@
         bundle = sizes.build_bundle(self.size, self.upstreams, self.version)
         path = self.folder / "bundle.json"
         path.write_text(json.dumps(bundle))
-        await self.operate("publish", str(path))
+        return await self.operate("publish", str(path))
 
-    async def operate(self, *arguments: str) -> None:
+    async def operate(self, *arguments: str) -> resource.struct_rusage:
         """Run the operators' command with the store and the signer's key.
 
+        :returns: what the command used.
         :raises RuntimeError: if the command fails.
         """
         key = self.folder / "signing-key"
         key.write_text(self._key.private_bytes_raw().hex())
-        process = await start_module(
-            "shallotspindle_operations.main",
-            *arguments,
-            *("--store", f"http://127.0.0.1:{self.ports['store']}"),
-            *("--signer", SIGNER, "--key", str(key)),
-            stdout=asyncio.subprocess.PIPE,
-        )
-        output, _ = await process.communicate()
+        store = f"http://127.0.0.1:{self.ports['store']}"
+        command = (sys.executable, "-m", "shallotspindle_operations.main", *arguments)
+        options = ("--store", store, "--signer", SIGNER, "--key", str(key))
+        process = subprocess.Popen((*command, *options), stdout=subprocess.DEVNULL)
+        _, status, used = await asyncio.to_thread(os.wait4, process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
         if process.returncode:
-            raise RuntimeError(f"{arguments}: {output.decode()}")
+            raise RuntimeError(f"{arguments} ended with {process.returncode}")
+        return used
 
     async def withdraw(self, key: str, entry: Entry) -> None:
         """Withdraw a key with the help of one instance, with or without the store."""
--- a/tools/sizes.py
+++ b/tools/sizes.py
@@ -1,6 +1,7 @@
 """Bundles of a given size for the fleet script and the capacity measurements."""
 
 import itertools
+import zlib
 from dataclasses import dataclass
 
 from shallotspindle_keys import digests
@@ -82,14 +83,18 @@
     }
 
 
-def build_service(
-    name: str, count: int, addresses: dict[str, str], shared: list[str]
-) -> dict:
-    """Return a service; upstreams without a process share the given addresses."""
+def make_address(name: str) -> str:
+    """Return an address of an upstream that does not run; nothing listens there."""
+    number = zlib.crc32(name.encode())
+    return f"127.{1 + (number >> 16) % 250}.{(number >> 8) % 256}.{number % 256}:9"
+
+
+def build_service(name: str, count: int, addresses: dict[str, str]) -> dict:
+    """Return a service; upstreams without a process have addresses of their own."""
     upstreams = [
         {
             "name": f"{name}-{n}",
-            "address": addresses.get(f"{name}-{n}", shared[n % len(shared)]),
+            "address": addresses.get(f"{name}-{n}") or make_address(f"{name}-{n}"),
             "failure_domain": DOMAINS[n % 3],
         }
         for n in range(1, count + 1)
@@ -118,7 +123,6 @@
     :param version: the first version has the stated rates; each later one adds to
         one team's rate, so that no two bundles are equal.
     """
-    shared = sorted(addresses.values())
     teams = [build_team(team) for team in list_teams(size)]
     teams[0]["rate"] += version - 1
     return {
@@ -126,8 +130,7 @@
         "salt": SALT,
         "teams": teams,
         "services": [
-            build_service(name, count, addresses, shared)
-            for name, count in size.services
+            build_service(name, count, addresses) for name, count in size.services
         ],
         "routes": build_routes(size),
     }
