Drop the start of a streamed body, and test slow callers

Cause: a streaming upload kept its first 64 KB until its end, and no test covered a caller that sends half a head or half a body. Change: the start is dropped once it was sent; two tests. Conclusion: a slow caller gets 408 and nothing is forwarded."

--- a/libraries/entry/shallotspindle_entry/bodies.py
+++ b/libraries/entry/shallotspindle_entry/bodies.py
@@ -92,5 +92,7 @@
         if self._complete:
             return
         self._streaming = True
+        # A streamed body is not sent again, so that its start is not kept either.
+        self._prefix = b""
         while chunk := await self._read():
             yield chunk
--- a/libraries/entry/shallotspindle_entry/edge_test.py
+++ b/libraries/entry/shallotspindle_entry/edge_test.py
@@ -8,7 +8,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from shallotspindle_entry import certificates
+from shallotspindle_entry import bodies, certificates, frontend
 from shallotspindle_entry.conftest import KEY
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
@@ -245,6 +245,24 @@
         await edge.lifecycle.wait_idle(LONG_SECONDS)
 
 
+class TestSlowCallers:
+    async def test_half_a_head_is_answered_and_closed(self, edge, monkeypatch):
+        # Guards against callers that hold connections open without a request.
+        monkeypatch.setattr(frontend, "FIRST_REQUEST_SECONDS", 0.05)
+        answer = await edge.send(b"GET /open HTTP/1.1\r\nHost: shop.test\r\n")
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert edge.upstream.received == []
+
+    async def test_half_a_short_body_is_refused_and_not_forwarded(
+        self, edge, monkeypatch
+    ):
+        monkeypatch.setattr(bodies, "IDLE_SECONDS", 0.05)
+        request = post("/records/1", "x").replace(b"Length: 1", b"Length: 9")
+        answer = await edge.send(request)
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert edge.upstream.received == []
+
+
 class TestPlannedStop:
     async def test_request_in_work_is_answered(self, edge):
         # Guards against a planned stop that cuts a request.
