--- a/demo/demo.py
+++ b/demo/demo.py
@@ -150,7 +150,7 @@
             await demo.show_withdrawal()
             await demo.show_gray_upstream()
     finally:
-        await fleet.stop()
+        await fleet.kill()
     print("answers by status:", dict(sorted(report.outcomes.items())))
     return 1 if report.failed else 0
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -296,3 +296,13 @@
             return response.status == 200
     except aiohttp.ClientError:
         return False
+
+
+async def ask_status(port: int, key: str) -> int:
+    """Return the status of a read with a key."""
+    headers = {"Authorization": f"Bearer {key}"}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://127.0.0.1:{port}/catalogue/1", headers=headers) as answer,
+    ):
+        return answer.status
