--- a/tools/daemon_cost.py
+++ b/tools/daemon_cost.py
@@ -28,6 +28,7 @@
 RATES = (50, 150, TARGET_RATE, 400, 600, 800)
 IDLE_CONNECTIONS = 500
 STREAMS = 20
+POLL_SECONDS = 0.1
 STREAM_SECONDS = 3.0
 UPLOAD_BYTES = 200_000_000
 HEADERS = {"Authorization": "Bearer key-team-1"}
@@ -44,7 +45,10 @@
         try:
             await fleet.start_standins(20, 2, 0.002)
             await fleet.publish()
-            await fleet.start_entry(0)
+            entry = await fleet.start_entry(0)
+            # New buckets start empty; a refused request would measure nothing.
+            while await processes.ask_status(entry.callers, "key-team-1") != 200:
+                await asyncio.sleep(POLL_SECONDS)
             yield fleet
         finally:
             await fleet.stop()
@@ -194,7 +198,7 @@
     }
 
 
-async def measure(duration: float, seed: int) -> dict:
+async def measure(duration: float, seed: int, rates: list | None) -> dict:
     async with run_fleet() as fleet:
         pid = fleet.entries[0].process.pid
         found = {"rss_at_start": usage.read(pid).rss}
@@ -202,7 +206,7 @@
         found["streams"] = await measure_streams(fleet)
         found["idle"] = await measure_idle(fleet)
         print(json.dumps(found), flush=True)
-        found["rates"] = await measure_rates(fleet, duration, seed)
+        found["rates"] = rates or await measure_rates(fleet, duration, seed)
         return found
 
 
@@ -212,15 +216,19 @@
     duration: float = 40.0,
     seed: int = 1,
     output: Path = ROOT / "measurements/daemon.json",
+    keep_rates: bool = False,
 ) -> None:
     """Measure one daemon and write the figures.
 
     :param duration: length of the load at each rate and target, in seconds.
     :param seed: number that the schedules are made from.
     :param output: JSON file.
+    :param keep_rates: measure memory only and keep the rates of the file; give the
+        same duration and seed.
     """
+    rates = json.loads(output.read_text())["rates"] if keep_rates else None
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        found = runner.run(measure(duration, seed))
+        found = runner.run(measure(duration, seed, rates))
     command = f"python tools/daemon_cost.py --duration {duration:g} --seed {seed}"
     data = {"command": command, "seed": seed, **found}
     output.write_text(json.dumps(data, indent=1, sort_keys=True) + "\n")
