Name the test harness of ownership for what it is

Cause: a module named simulation read like a simulator of a cluster; it only drives the decisions for the state machine tests and trace replays. Change: simulation is now harness. Conclusion: no behaviour changed."

--- a/libraries/model/shallotspindle_model/replay.py
+++ b/libraries/model/shallotspindle_model/replay.py
@@ -1,6 +1,6 @@
 """Replays traces of the checker on the libraries.
 
-Labels of steps in the specifications are carried out by a simulated fleet, so that
+Labels of steps in the specifications are carried out by the test harness of ownership, so that
 specification and code can be compared after each step.
 """
 
@@ -14,8 +14,8 @@
 from shallotspindle_model import lapse, termination
 from shallotspindle_model.claims import HOLDERS
 from shallotspindle_model.specification import Removed, Specification
+from shallotspindle_ownership.harness import Fleet, Outcome
 from shallotspindle_ownership.sessions import HORIZON_SECONDS, QUIET_SECONDS
-from shallotspindle_ownership.simulation import Fleet, Outcome
 
 Trace = list[tuple[str, object]]
 PARTITION = 0
--- a/libraries/ownership/shallotspindle_ownership/simulation.py
+++ b/libraries/ownership/shallotspindle_ownership/harness.py
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Node:
-    """One simulated instance.
+    """One instance with its rights and the table that it read.
 
     :param attempts: when each renewal counter was first sent.
     :param offers: partitions with epochs and the successor's time, by successor.
--- a/libraries/ownership/shallotspindle_ownership/simulation_test.py
+++ b/libraries/ownership/shallotspindle_ownership/harness_test.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from shallotspindle_ownership import holdings, sessions
-from shallotspindle_ownership.simulation import ExclusionError, Fleet, Outcome
+from shallotspindle_ownership.harness import ExclusionError, Fleet, Outcome
 
 NAMES = ["a", "b", "c"]
 PARTITIONS = [0, 1]
@@ -273,8 +273,8 @@
         fleet.renew("b", Outcome.ANSWERED)
         assert not fleet.take_over("b", "a", Outcome.ANSWERED)
 
-    def test_the_simulation_notices_two_holders(self):
-        # Guards against a simulation that cannot fail.
+    def test_the_harness_notices_two_holders(self):
+        # Guards against a harness that cannot fail.
         fleet = start(0)
         held = fleet.nodes["a"].rights.held
         fleet.nodes["b"].rights = replace(fleet.nodes["b"].rights, held=held)
