--- a/libraries/model/shallotspindle_model/replay.py
+++ b/libraries/model/shallotspindle_model/replay.py
@@ -1,7 +1,7 @@
 """Replays traces of the checker on the libraries.
 
-Labels of steps in the specifications are carried out by the test harness of ownership, so that
-specification and code can be compared after each step.
+Labels of steps in the specifications are carried out by the test harness of
+ownership, so that specification and code can be compared after each step.
 """
 
 from collections import deque
