State the not-run header and the limits' messages in one place

Cause: the read-through found the header and its value of a request that was not run both in the front end and in the retries library, and the limits' message types listed beside their own tuple. Change: the front end reads the constants of eligibility; coordination takes limits.records.MESSAGE_TYPES. Conclusion: no behaviour changed.

--- a/libraries/entry/shallotspindle_entry/coordination.py
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -38,10 +38,7 @@
 
 MESSAGE_TYPES = (
     *bundle_messages.MESSAGE_TYPES,
-    limit_records.Acquire,
-    limit_records.Granted,
-    limit_records.Denied,
-    limit_records.NotActing,
+    *limit_records.MESSAGE_TYPES,
     claim_messages.Claim,
     claim_messages.Claimed,
     claim_messages.Present,
--- a/libraries/entry/shallotspindle_entry/headers.py
+++ b/libraries/entry/shallotspindle_entry/headers.py
@@ -9,10 +9,10 @@
 from multidict import CIMultiDict
 
 from shallotspindle_entry import deadlines
+from shallotspindle_retries import eligibility
 
 REQUEST_ID = "X-Request-Id"
 IDEMPOTENCY_KEY = "Idempotency-Key"
-OUTCOME = "Request-Outcome"
 LOAD = "Upstream-Load"
 DRAINING = "Upstream-Draining"
 HOP_BY_HOP = frozenset(
@@ -117,4 +117,5 @@
 
 def says_not_run(headers: Mapping[str, str]) -> bool:
     """Return whether an upstream states that it did not run the request."""
-    return headers.get(OUTCOME, "").strip().lower() == "not-run"
+    stated = headers.get(eligibility.OUTCOME_HEADER, "")
+    return stated.strip().lower() == eligibility.NOT_RUN
