Let few watchers per failure domain call the store for all

Change: two watchers a domain watch; the others ask them for changes by revision. A neighbour's answer carries the age of its confirmation.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -23,7 +23,6 @@
 from shallotspindle_gateway.records import Endpoint, Member, Settings
 from shallotspindle_gateway.reporting import Reporter
 from shallotspindle_gateway.rights import Rights
-from shallotspindle_gateway.sharing import Sharing
 from shallotspindle_gateway.storage import Decoder, Store
 
 BACKLOG = 1024
@@ -65,14 +64,13 @@
         metrics = bind_stream(settings.metrics)
         self.peers = Peers(bind_datagram(settings.peers), messages.MESSAGE_TYPES)
         own = Member(self.peers.address, settings.domain)
-        self.follower = Follower(store, decoder, clock)
+        self.follower = Follower(own, store, decoder, self.peers, clock)
         self._rights = Rights(
             own, secrets.token_hex(8), store, self.follower, clock
         )
         self.lending = Lending(
             own, self.follower, self.peers, settings.bounds, clock, source
         )
-        sharing = Sharing(own, self.follower, self.peers, clock, source)
         names = settings.headers
         forwarder = Forwarder(names.request_id, names.not_run, clock)
         admission = Admission(self.follower, self._rights, self.peers, clock)
@@ -99,7 +97,6 @@
             self.follower,
             self._rights,
             self.lending,
-            sharing,
             forwarder,
             self._frontend,
             probes,
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -1,8 +1,10 @@
 """Task that follows the store: configuration, upstreams, members and held rights.
 
-One watch over all keys brings every change. What the store said is *confirmed* as of
-the moment at which the question was sent; a request with a key needs a confirmation
-that is younger than the time in which a withdrawn key must stop working.
+A few watchers in each failure domain watch the store; the others ask them for what
+changed and turn to the store only if no watcher is fresh. What the store said is
+*confirmed* as of the sending of the question to it, also when it came through a
+neighbour. A request with a key needs a confirmation that is younger than the time in
+which a withdrawn key must stop working.
 """
 
 import asyncio
@@ -14,8 +16,12 @@
 from aiomisc import Service
 from expression import Result
 
+from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain
+from shallotspindle_gateway.changelog import ChangeLog
+from shallotspindle_gateway.messages import ChangesAsked, ChangesTold
+from shallotspindle_gateway.peers import Peers
 from shallotspindle_gateway.records import NO_DEPLOYMENT, Deployment, Member
 from shallotspindle_gateway.storage import (
     Changes,
@@ -30,34 +36,52 @@
 
 MEMBER_PREFIX = "members/"
 RIGHT_PREFIX = "limits/"
+WATCHER_COUNT = 2
 WATCH_SECONDS = 1.5
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
 RETRY_SECONDS = 0.25
+# How often a watcher is asked for changes.
+POLL_SECONDS = 0.25
+ANSWER_SECONDS = 0.1
+# A neighbour whose own confirmation is older is not taken for fresh.
+LARGEST_AGE_SECONDS = 2.2
+NEIGHBOURS_ASKED = 3
 # Shorter gaps leave no time for entries to lapse.
 OUTAGE_SECONDS = 1.0
 Listener = Callable[[], None]
 
 
 class Follower(Service):
-    """Owns the view of the store; others read it and are told of changes."""
+    """Owns the view of the store; others read it and are told of changes.
+
+    :param own: this instance.
+    """
 
     def __init__(
-        self, store: Store, decoder: Decoder, clock: Clock, **kwargs: Any
+        self,
+        own: Member,
+        store: Store,
+        decoder: Decoder,
+        peers: Peers,
+        clock: Clock,
+        **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._own = own
         self._store = store
         self._decoder = decoder
+        self._peers = peers
         self._clock = clock
-        self._revision = 0
+        self._log = ChangeLog()
         self._listeners: list[Listener] = []
-        self._answered_at = float("-inf")
         self._confirmed_at = float("-inf")
+        self._store_answered_at = float("-inf")
         self.deployment: Deployment = NO_DEPLOYMENT
-        self.document = b""
         self.upstreams = Directory()
         self.members: dict[str, Member] = {}
         self.rights: dict[str, Stored] = {}
+        peers.register(ChangesAsked, self._tell_changes)
 
     def subscribe(self, listener: Listener) -> None:
         """Call a function after each change."""
@@ -67,91 +91,130 @@
         """Return the time since the last confirmation, in seconds."""
         return now - self._confirmed_at
 
-    def hears_store(self, now: float) -> bool:
-        """Return whether the store itself answered lately."""
-        return now - self._answered_at < 2 * WATCH_SECONDS
-
-    def confirm(self, at: float) -> None:
-        """Take a confirmation of another instance, as of a time in seconds."""
-        self._confirmed_at = max(self._confirmed_at, at)
-
-    def take_document(self, document: bytes) -> None:
-        """Take the configuration from another instance."""
-        self._learn_configuration(document)
-        self._notify()
-
     async def start(self) -> None:
         while True:
-            if self._revision == 0:
+            if not self._log.revision:
                 await self._read_all()
+            elif self._is_watcher():
+                if not await self._watch():
+                    await self._ask_neighbours(self._list_neighbours())
+            elif not await self._ask_neighbours(self._rank_watchers()):
+                if not await self._watch():
+                    await self._ask_neighbours(self._list_neighbours())
             else:
-                await self._follow()
+                await asyncio.sleep(POLL_SECONDS)
+
+    # What the store says.
 
-    async def _read_all(self) -> None:
+    async def _read_all(self) -> bool:
         asked_at = self._clock.boottime()
         match await self._store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
-                self._note_answer(asked_at)
-                self._replace(snapshot)
+                self._note_store(asked_at)
+                self._apply(self._log.compare(snapshot))
                 await asyncio.sleep(PAUSE_SECONDS)
+                return True
             case Result(tag="error", error=failure):
                 await self._note_failure(failure)
+        return False
 
-    async def _follow(self) -> None:
+    async def _watch(self) -> bool:
+        """Wait for changes at the store; return whether it answered."""
         asked_at = self._clock.boottime()
-        match await self._store.follow(self._revision, WATCH_SECONDS):
+        match await self._store.follow(self._log.revision, WATCH_SECONDS):
             case Result(tag="ok", ok=Changes() as changes):
-                self._note_answer(asked_at)
-                self._revision = changes.revision
+                if self._note_store(asked_at):
+                    return await self._read_all()
                 self._apply(changes)
                 if changes.events:
                     await asyncio.sleep(PAUSE_SECONDS)
+                return True
             case Result(tag="error", error=HistoryLost()):
-                logging.info("the store lost the history after %d", self._revision)
-                self._revision = 0
+                logging.info("the store lost the history after %d", self._log.revision)
+                return await self._read_all()
             case Result(tag="error", error=failure):
                 await self._note_failure(failure)
+        return False
 
-    def _note_answer(self, asked_at: float) -> None:
+    def _note_store(self, asked_at: float) -> bool:
+        """Count an answer; return whether the store was away before it."""
         now = self._clock.boottime()
-        if now - self._answered_at > WATCH_SECONDS + OUTAGE_SECONDS:
-            logging.info("the store answers")
-            self.upstreams.note_outage_end(now)
-            asyncio.get_running_loop().call_later(GRACE_SECONDS + 0.1, self._expire)
-            self._revision = 0
-        self._answered_at = now
-        self.confirm(asked_at)
+        gap = now - self._store_answered_at
+        self._store_answered_at = now
+        age = self.find_age(now)
+        self._confirm(asked_at)
+        if gap == float("inf") or age <= WATCH_SECONDS + OUTAGE_SECONDS:
+            return False
+        logging.info("the store answers after %.1f s", age)
+        self.upstreams.note_outage_end(now)
+        asyncio.get_running_loop().call_later(GRACE_SECONDS + 0.1, self._expire)
+        return True
+
+    def _confirm(self, at: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, at)
 
     def _expire(self) -> None:
         self.upstreams.expire(self._clock.boottime())
         self._notify()
 
     async def _note_failure(self, failure: StoreFailure) -> None:
-        logging.warning(
-            "the store failed after %.1f s without a confirmation: %s",
-            min(9999.0, self.find_age(self._clock.boottime())),
-            failure,
-        )
+        age = min(9999.0, self.find_age(self._clock.boottime()))
+        logging.warning("the store failed, confirmed %.1f s ago: %s", age, failure)
         await asyncio.sleep(RETRY_SECONDS)
 
-    def _replace(self, snapshot: Snapshot) -> None:
-        now = self._clock.boottime()
-        self._revision = snapshot.revision
-        self.members.clear()
-        self.rights.clear()
-        announcements = []
-        for item in snapshot.items:
-            if self._decoder.is_announcement(item.key):
-                announcements.append(item)
-            else:
-                self._learn(item, now)
-        decoded = (self._decode_announcement(item) for item in announcements)
-        self.upstreams.replace((item for item in decoded if item is not None), now)
-        self._notify()
+    # What neighbours say.
+
+    def _rank_watchers(self) -> list[str]:
+        addresses = {
+            member.address
+            for member in self.members.values()
+            if member.domain == self._own.domain
+        } | {self._own.address}
+        return hashing.rank_rendezvous("watcher", addresses)[:WATCHER_COUNT]
+
+    def _is_watcher(self) -> bool:
+        return self._own.address in self._rank_watchers()
+
+    def _list_neighbours(self) -> list[str]:
+        near = {m.address for m in self.members.values() if m.domain == self._own.domain}
+        far = {m.address for m in self.members.values()} - near
+        seed = f"neighbour {self._own.address} {self._clock.boottime():.1f}"
+        ranked = hashing.rank_rendezvous(seed, near - {self._own.address})
+        others = hashing.rank_rendezvous(seed, far)
+        return [*ranked[: NEIGHBOURS_ASKED - 1], *others[:1]]
+
+    async def _ask_neighbours(self, addresses: list[str]) -> bool:
+        """Take changes from the first neighbour that is fresh."""
+        for address in addresses:
+            sent_at = self._clock.boottime()
+            asked = ChangesAsked(self._log.revision)
+            answer = await self._peers.request(address, asked, ANSWER_SECONDS)
+            if isinstance(answer, ChangesTold) and self._take(answer, sent_at):
+                return True
+        return False
+
+    def _take(self, told: ChangesTold, sent_at: float) -> bool:
+        if told.is_lost or told.age_seconds > LARGEST_AGE_SECONDS:
+            return False
+        events = tuple(
+            key if is_removed else Stored(key, value, revision)
+            for key, value, revision, is_removed in told.events
+        )
+        self._apply(Changes(events, told.revision))
+        if told.is_whole:
+            # Delays on the way make the confirmation older, never younger.
+            self._confirm(sent_at - told.age_seconds)
+        return True
+
+    def _tell_changes(self, sender: str, asked: ChangesAsked) -> ChangesTold:
+        age = min(9999.0, self.find_age(self._clock.boottime()))
+        return self._log.tell(asked.revision, age)
+
+    # What it means.
 
     def _apply(self, changes: Changes) -> None:
         now = self._clock.boottime()
-        for event in changes.events:
+        for event in self._log.add(changes):
             if isinstance(event, Stored):
                 self._learn(event, now)
             else:
@@ -163,11 +226,7 @@
         if self._decoder.is_configuration(item.key):
             self._learn_configuration(item.value)
         elif self._decoder.is_announcement(item.key):
-            announcement = self._decode_announcement(item)
-            if announcement is None:
-                self.upstreams.remove(self._decoder.name_upstream(item.key), now)
-            else:
-                self.upstreams.announce(announcement, now)
+            self._learn_announcement(item, now)
         elif item.key.startswith(MEMBER_PREFIX):
             self._learn_member(item)
         elif item.key.startswith(RIGHT_PREFIX):
@@ -179,13 +238,13 @@
         self.members.pop(key, None)
         self.rights.pop(key, None)
 
-    def _decode_announcement(self, item: Stored) -> Any:
+    def _learn_announcement(self, item: Stored, now: float) -> None:
         match self._decoder.decode_announcement(item.key, item.value):
             case Result(tag="ok", ok=announcement):
-                return announcement
+                self.upstreams.announce(announcement, now)
             case Result(tag="error", error=failure):
                 logging.warning("an announcement was ignored: %s", failure)
-        return None
+                self.upstreams.remove(self._decoder.name_upstream(item.key), now)
 
     def _learn_member(self, item: Stored) -> None:
         try:
@@ -201,7 +260,6 @@
                 if found.bundle.version <= self.deployment.bundle.version:
                     return
                 self.deployment = found
-                self.document = document
                 logging.info("configuration %d is in force", found.bundle.version)
             case Result(tag="error", error=failures):
                 for failure in failures:
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -163,7 +163,7 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self._web = web.Server(self._serve, loop=loop)
+        self._web = web.Server(self._serve, loop=loop, access_log=None)
         self._servers = [
             await loop.create_server(self._web, sock=listener)
             for listener in self._listeners
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -40,24 +40,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KnowledgeAsked:
-    """Asks what the store said last."""
+class ChangesAsked:
+    """Asks what changed in the store.
 
-    version: int
+    :param revision: revision up to which the asker knows the changes.
+    """
+
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
-class KnowledgeTold:
-    """What the store said last.
+class ChangesTold:
+    """What changed in the store, as far as the teller knows.
 
-    :param version: version of the configuration in force.
+    :param revision: revision up to which the changes are told.
     :param age_seconds: time since the question to the store whose answer confirmed it.
-    :param document: the configuration as stored, if the asker has an older one.
+    :param events: key, value, revision and whether the key was removed.
+    :param is_lost: whether the teller does not know all changes since the asker's.
+    :param is_whole: whether the teller told all that it knows.
     """
 
-    version: int
+    revision: int
     age_seconds: float
-    document: bytes = b""
+    events: tuple[tuple[str, bytes, int, bool], ...] = ()
+    is_lost: bool = False
+    is_whole: bool = True
 
 
 MESSAGE_TYPES = (
@@ -65,7 +72,7 @@
     TokenGiven,
     TokenDenied,
     NotHolder,
-    KnowledgeAsked,
-    KnowledgeTold,
+    ChangesAsked,
+    ChangesTold,
     *lending_records.MESSAGE_TYPES,
 )
