Count only arrivals as repeats

Cause: a request whose connection to an upstream failed was refused with 503, because its second send drew on the retry budget and might not wait. Change: a send that did not arrive costs no budget, and a request with no send on its way may wait for a slot again. The caller's deadline includes the way of the answer.

--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -51,6 +51,7 @@
     """Progress of one request.
 
     :param runs: sends after which the request may have run.
+    :param arrivals: sends that reached an upstream, run or not.
     """
 
     want: Want
@@ -58,6 +59,7 @@
     build: Callable[[Borrowed, float], Order]
     sends: list[Sent]
     runs: int = 0
+    arrivals: int = 0
     last: Outcome | None = None
     refused: SlotRefused | None = None
     error: Answer | None = None
@@ -136,13 +138,14 @@
             return False
         if run.runs and not run.want.repeatable:
             return False
+        run.want = replace(
+            run.want, hedge=bool(flights), repeat=bool(run.arrivals or flights)
+        )
         slot = await self._lending.borrow(run.want)
         if isinstance(slot, SlotRefused):
             run.refused = slot
             return False
-        run.want = replace(
-            run.want, repeat=True, avoid=(*run.want.avoid, slot.upstream)
-        )
+        run.want = replace(run.want, avoid=(*run.want.avoid, slot.upstream))
         now = self._clock.boottime()
         left = run.want.until - now
         if left < LEAST_SECONDS:
@@ -169,6 +172,8 @@
         run.last = attempt.outcome
         if not attempt.not_run:
             run.runs += 1
+        if attempt.outcome is not Outcome.NOT_CONNECTED:
+            run.arrivals += 1
         seconds = attempt.seconds
         run.sends.append(Sent(flight.slot.upstream, attempt.outcome, seconds))
         self._lending.give_back(run.want, flight.slot, attempt.outcome, seconds)
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -52,6 +52,8 @@
 class Want:
     """What a request needs a slot for.
 
+    :param repeat: whether an upstream got the request before.
+    :param hedge: whether another send is still on its way.
     :param heavy: whether its body is dear to send to another failure domain.
     :param until: when the request must be answered, in seconds.
     """
@@ -63,6 +65,7 @@
     heavy: bool
     until: float
     fingerprint: int
+    hedge: bool = False
     avoid: tuple[UpstreamName, ...] = ()
 
 
@@ -188,7 +191,7 @@
         plans = [(domain, NO_WAIT) for domain in domains]
         if want.heavy:
             plans[0] = (domains[0], HEAVY_WAIT_SECONDS)
-        if not want.repeat:
+        if not want.hedge:
             plans.append((domains[0], max(0.0, want.until - self._clock.boottime())))
         for domain, wait in plans:
             found = await self._borrow_in(domain, want, wait)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -33,6 +33,8 @@
 # the question to the store and the send to an upstream.
 FRESH_PART = 0.8
 DEFAULT_SECONDS = 30.0
+# The way of the request and of its answer is part of the caller's deadline.
+WAY_SECONDS = 0.03
 HEAVY_BYTES = 16 * 1024
 NO_TEAM = TeamName("")
 
@@ -152,7 +154,7 @@
         if length is not None and length > deployment.caller_limits.body_bytes:
             return refusals.BODY_TOO_LARGE
         given = headers.read_deadline(request.headers, self._names) or DEFAULT_SECONDS
-        until = now + min(given, route.timeout)
+        until = now + min(given - WAY_SECONDS, route.timeout)
         service = choose_service(route, self._random)
         trace.service = service
         return Call(request, route, service, team, until)
