Test the gateway with a store and upstreams as stand-ins

Cause: the new daemon had tests of its decisions only, and an order that waited for a slot was still sent after its caller had left. Change: a fleet of gateways on loopback in one process; an order that was not sent is dropped with its caller.

--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -0,0 +1,295 @@
+"""A fleet of gateways in one process, with a store and upstreams as stand-ins."""
+
+import asyncio
+import itertools
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import aiohttp
+import pytest_asyncio
+from aiohttp import web
+from expression import Error, Ok
+
+from shallotspindle_bundles.records import Bundle, Route, Team
+from shallotspindle_core.identifiers import (
+    FailureDomain,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+)
+from shallotspindle_gateway.daemon import Daemon
+from shallotspindle_gateway.records import (
+    Bounds,
+    Deployment,
+    Endpoint,
+    HeaderNames,
+    Settings,
+)
+from shallotspindle_gateway.storage import (
+    Changes,
+    Lease,
+    LeaseEnded,
+    Snapshot,
+    Stored,
+)
+from shallotspindle_keys import digests
+from shallotspindle_keys.directory import build_directory
+from shallotspindle_platform.clock import SystemClock
+from shallotspindle_platform.interface import Conflict, StoreFailure
+from shallotspindle_registry.records import Announcement, State
+from shallotspindle_routing.routes import build_table
+
+NAMES = HeaderNames()
+SERVICE = ServiceName("catalogue")
+SALT = b"0123456789abcdef"
+READY_SECONDS = 10.0
+BOUNDS = Bounds()
+
+
+class MemoryStore:
+    """Store in memory; ``is_away`` makes every call fail."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[Stored, int]] = {}
+        self.events: list[tuple[int, Stored | str]] = []
+        self.leases: set[int] = set()
+        self.revision = 1
+        self.is_away = False
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        self.revision += 1
+        item = Stored(key, value, self.revision)
+        self.items[key] = (item, lease)
+        self._announce(item)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        del self.items[key]
+        self._announce(key)
+
+    def _announce(self, event: Stored | str) -> None:
+        self.events.append((self.revision, event))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _fail(self):
+        self.calls += 1
+        return Error(StoreFailure("store", "away")) if self.is_away else None
+
+    async def read_all(self):
+        found = tuple(item for item, _ in self.items.values())
+        return self._fail() or Ok(Snapshot(found, self.revision))
+
+    async def follow(self, revision, seconds):
+        if failed := self._fail():
+            return failed
+        if self.revision <= revision:
+            try:
+                await asyncio.wait_for(self._changed.wait(), seconds)
+            except TimeoutError:
+                return Ok(Changes((), self.revision))
+        events = tuple(event for at, event in self.events if at > revision)
+        return Ok(Changes(events, self.revision))
+
+    async def create(self, values, expected, lease):
+        if failed := self._fail():
+            return failed
+        if lease not in self.leases:
+            return Error(LeaseEnded("store", "ended"))
+        for key, revision in expected.items():
+            found = self.items.get(key)
+            if (found[0].revision if found else 0) != revision:
+                return Error(Conflict("store", "changed"))
+        for key, value in values.items():
+            self.put(key, value, lease)
+        return Ok(self.revision)
+
+    async def grant_lease(self, seconds):
+        number = len(self.events) + len(self.leases) + 1000
+        self.leases.add(number)
+        return self._fail() or Ok(Lease(number, seconds))
+
+    async def renew_lease(self, lease):
+        if failed := self._fail():
+            return failed
+        return Ok(None) if lease in self.leases else Error(LeaseEnded("s", "ended"))
+
+    async def end_lease(self, lease):
+        self.leases.discard(lease)
+        for key in [key for key, (_, owner) in self.items.items() if owner == lease]:
+            self.remove(key)
+        return self._fail() or Ok(None)
+
+
+class Documents:
+    """Decoder of the documents that this module writes."""
+
+    def is_configuration(self, key):
+        return key == "configuration"
+
+    def is_announcement(self, key):
+        return key.startswith("upstreams/")
+
+    def name_upstream(self, key):
+        return UpstreamName(key.removeprefix("upstreams/"))
+
+    def decode_configuration(self, data):
+        found = json.loads(data)
+        team = Team(
+            TeamName("museum"),
+            found["rate"],
+            found["rate"],
+            tuple(digests.digest_key(SALT, key) for key in found["keys"]),
+        )
+        routes = (
+            Route("reads", "/reads/", SERVICE, timeout=2.0, attempts=3),
+            Route(
+                "orders",
+                "/orders/",
+                SERVICE,
+                timeout=2.0,
+                idempotent_methods=frozenset(),
+            ),
+        )
+        bundle = Bundle(found["version"], SALT, {team.name: team}, routes=routes)
+        keys = build_directory(SALT, [(team.name, team.key_digests)])
+        return Ok(Deployment(bundle, keys, build_table(routes)))
+
+    def decode_announcement(self, key, data):
+        address, domain = json.loads(data)
+        return Ok(
+            Announcement(
+                self.name_upstream(key),
+                SERVICE,
+                address,
+                FailureDomain(domain),
+                State.READY,
+                slots=2,
+            )
+        )
+
+
+@dataclass
+class Upstream:
+    """Upstream whose answers are set by ``mode``."""
+
+    name: str
+    mode: str = "whole"
+    runs: list[str] = field(default_factory=list)
+    seen: list[web.BaseRequest] = field(default_factory=list)
+    cancelled: int = 0
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        request_id = request.headers.get(NAMES.request_id, "")
+        if self.mode == "shed":
+            return web.Response(status=503, headers={NAMES.not_run: "1"})
+        self.runs.append(request_id)
+        self.seen.append(request)
+        fields = {NAMES.request_id: request_id, NAMES.signature: "s"}
+        if self.mode == "hang":
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        if self.mode == "reset":
+            request.transport.abort()
+        if self.mode == "crossed":
+            fields[NAMES.request_id] = "another"
+        if self.mode == "cut":
+            response = web.StreamResponse(headers={"Content-Length": "100", **fields})
+            await response.prepare(request)
+            await response.write(b"half")
+            request.transport.close()
+            return response
+        status = 500 if self.mode == "error" else 200
+        return web.Response(status=status, body=b"answer " + body, headers=fields)
+
+
+class Fleet:
+    """Gateways, a store and upstreams on loopback."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.upstreams: dict[str, Upstream] = {}
+        self.daemons: list[Daemon] = []
+        self.session = aiohttp.ClientSession()
+        self._helpers: list[asyncio.Task] = []
+        self._servers: list = []
+        self._numbers = itertools.count()
+
+    def configure(self, version=1, keys=("k1",), rate=1000.0) -> None:
+        document = {"version": version, "keys": list(keys), "rate": rate}
+        self.store.put("configuration", json.dumps(document).encode())
+
+    async def add_upstream(self, mode: str = "whole", domain: str = "a") -> Upstream:
+        upstream = Upstream(f"u{len(self.upstreams)}", mode)
+        server = web.Server(upstream.serve, handler_cancellation=True, access_log=None)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        self._servers.append((listener, server))
+        host, port = listener.sockets[0].getsockname()
+        value = json.dumps([f"{host}:{port}", domain]).encode()
+        self.store.put(f"upstreams/{upstream.name}", value)
+        self.upstreams[upstream.name] = upstream
+        return upstream
+
+    async def add_gateway(self, domain: str = "a", bounds: Bounds = BOUNDS) -> Daemon:
+        local = Endpoint("127.0.0.1", 0)
+        settings = Settings(
+            f"gateway-{len(self.daemons)}",
+            FailureDomain(domain),
+            local,
+            local,
+            local,
+            local,
+            bounds=bounds,
+        )
+        daemon = Daemon(settings, self.store, Documents(), SystemClock())
+        self.daemons.append(daemon)
+        for service in daemon.services:
+            self._helpers.append(asyncio.create_task(service.start()))
+        await self.await_true(daemon.is_ready)
+        return daemon
+
+    async def await_true(self, check, seconds: float = READY_SECONDS) -> None:
+        async with asyncio.timeout(seconds):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    async def send(self, daemon, path="/reads/1", key="k1", method="GET", body=None):
+        """Return status, headers and body of one request."""
+        fields = {
+            NAMES.request_id: f"r{next(self._numbers)}",
+            NAMES.deadline: "2000",
+            "Authorization": f"{NAMES.key_scheme} {key}",
+        }
+        url = f"http://127.0.0.1:{daemon.callers_port}{path}"
+        async with self.session.request(
+            method, url, headers=fields, data=body
+        ) as response:
+            return response.status, response.headers.copy(), await response.read()
+
+    async def close(self) -> None:
+        await self.session.close()
+        for daemon in self.daemons:
+            for service in reversed(daemon.services):
+                await service.stop()
+        for helper in self._helpers:
+            helper.cancel()
+        await asyncio.gather(*self._helpers, return_exceptions=True)
+        for listener, server in self._servers:
+            listener.close()
+            await server.shutdown(0)
+
+
+@pytest_asyncio.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    found = Fleet()
+    found.configure()
+    yield found
+    await found.close()
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -60,6 +60,7 @@
         source = random.SystemRandom()
         self._lifecycle = Lifecycle()
         self._callers = bind_stream(settings.callers)
+        self._callers_port = self._callers.getsockname()[1]
         readiness = bind_stream(settings.readiness)
         metrics = bind_stream(settings.metrics)
         self.peers = Peers(bind_datagram(settings.peers), messages.MESSAGE_TYPES)
@@ -90,7 +91,7 @@
             self.is_ready,
             reporter.render,
         )
-        self._services = [
+        self.services = [
             self.peers,
             self.follower,
             self._rights,
@@ -100,6 +101,11 @@
             probes,
         ]
 
+    @property
+    def callers_port(self) -> int:
+        """Port for callers."""
+        return self._callers_port
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send connections."""
         if self._lifecycle.stage is not Stage.RUNNING:
@@ -111,7 +117,7 @@
     async def run(self) -> None:
         """Run until a signal asks for the planned stop, then stop."""
         stopped = asyncio.Event()
-        async with aiomisc.entrypoint(*self._services, log_config=False):
+        async with aiomisc.entrypoint(*self.services, log_config=False):
             loop = asyncio.get_running_loop()
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.add_signal_handler(number, stopped.set)
@@ -120,12 +126,12 @@
                 "%s started, peers %s", self._settings.name, self.peers.address
             )
             await stopped.wait()
-            await self._stop()
+            await self.stop()
 
     def _note_reload(self) -> None:
         logging.info("reload: the settings of a running process do not change")
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Stop within the time for it, and cut no request."""
         started = self._clock.boottime()
         total = self._settings.bounds.stop_seconds
--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -0,0 +1,197 @@
+import asyncio
+
+import pytest
+
+from shallotspindle_gateway import lending, rights
+from shallotspindle_gateway.conftest import NAMES
+from shallotspindle_gateway.records import Bounds
+
+
+@pytest.fixture(autouse=True)
+def no_settling(monkeypatch):
+    monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
+    monkeypatch.setattr(rights, "RENEWAL_SECONDS", 0.1)
+
+
+async def start(fleet, *modes):
+    """Start upstreams and one gateway that holds all rights."""
+    for mode in modes:
+        await fleet.add_upstream(mode)
+    daemon = await fleet.add_gateway()
+    await fleet.await_true(lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT)
+    return daemon
+
+
+class TestAnswers:
+    async def test_a_whole_answer_comes_back_unchanged(self, fleet):
+        daemon = await start(fleet, "whole")
+        status, headers, body = await fleet.send(
+            daemon, "/orders/1", method="POST", body=b"x" * 100_000
+        )
+        assert (status, body) == (200, b"answer " + b"x" * 100_000)
+        assert headers[NAMES.signature] == "s"
+
+    async def test_an_upstream_sees_the_team_and_never_the_key(self, fleet):
+        # Guards against a key that leaks, and against a team that the caller chose.
+        daemon = await start(fleet, "whole")
+        await fleet.send(daemon)
+        (request,) = fleet.upstreams["u0"].seen
+        assert request.headers[NAMES.team] == "museum"
+        assert request.headers[NAMES.target] == "u0"
+        assert "Authorization" not in request.headers
+        assert 0 < int(request.headers[NAMES.deadline]) <= 2000
+
+    @pytest.mark.parametrize("mode", ["cut", "crossed", "reset"])
+    async def test_a_broken_answer_is_never_given(self, fleet, mode):
+        # Guards against half an answer, or that of another request, as a success.
+        daemon = await start(fleet, mode)
+        status, _, body = await fleet.send(daemon, "/orders/1", method="POST")
+        assert status == 502
+        assert not body.startswith((b"answer ", b"half"))
+
+    async def test_an_unknown_route_and_an_unknown_key_are_refused(self, fleet):
+        daemon = await start(fleet, "whole")
+        assert (await fleet.send(daemon, "/nowhere/"))[0] == 404
+        assert (await fleet.send(daemon, "/reads"))[0] == 404
+        assert (await fleet.send(daemon, key="k9"))[0] == 401
+        assert not fleet.upstreams["u0"].runs
+
+
+class TestRepeats:
+    @pytest.mark.parametrize("mode", ["hang", "cut", "reset", "error"])
+    async def test_a_read_is_sent_again(self, fleet, mode):
+        # Guards against reads that are lost at a gray upstream.
+        daemon = await start(fleet, mode, "whole")
+        for _ in range(4):
+            assert (await fleet.send(daemon))[0] == 200
+
+    @pytest.mark.parametrize("mode", ["cut", "reset", "crossed"])
+    async def test_an_order_that_may_have_run_is_not_sent_again(self, fleet, mode):
+        # Guards against a deposit that is taken twice.
+        daemon = await start(fleet, mode, mode)
+        status, _, _ = await fleet.send(daemon, "/orders/1", method="POST")
+        assert status == 502
+        assert sum(len(item.runs) for item in fleet.upstreams.values()) == 1
+
+    async def test_an_order_that_was_shed_is_sent_elsewhere(self, fleet):
+        daemon = await start(fleet, "shed", "whole")
+        for _ in range(4):
+            assert (await fleet.send(daemon, "/orders/1", method="POST"))[0] == 200
+
+    async def test_an_order_that_nobody_ran_is_refused_as_not_run(self, fleet):
+        daemon = await start(fleet, "shed")
+        status, headers, _ = await fleet.send(daemon, "/orders/1", method="POST")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert not fleet.upstreams["u0"].runs
+
+    async def test_a_caller_that_leaves_ends_its_read_at_the_upstream(self, fleet):
+        # Guards against upstreams that work for callers that are gone.
+        daemon = await start(fleet, "hang")
+        upstream = fleet.upstreams["u0"]
+        sending = asyncio.create_task(fleet.send(daemon))
+        await fleet.await_true(lambda: upstream.runs)
+        sending.cancel()
+        await fleet.await_true(lambda: upstream.cancelled)
+
+    async def test_an_order_that_waits_is_dropped_when_its_caller_leaves(self, fleet):
+        # Guards against work that begins after its caller has gone.
+        daemon = await start(fleet, "hang")
+        upstream = fleet.upstreams["u0"]
+        first = [
+            asyncio.create_task(fleet.send(daemon, "/orders/1", method="POST"))
+            for _ in range(2)
+        ]
+        await fleet.await_true(lambda: len(upstream.runs) == 2)
+        third = asyncio.create_task(fleet.send(daemon, "/orders/3", method="POST"))
+        await asyncio.sleep(0.1)
+        third.cancel()
+        await asyncio.gather(*first)
+        await asyncio.sleep(0.1)
+        assert len(upstream.runs) == 2
+
+
+class TestKeys:
+    async def test_a_withdrawn_key_stops_working(self, fleet):
+        daemon = await start(fleet, "whole")
+        assert (await fleet.send(daemon))[0] == 200
+        fleet.configure(version=2, keys=("k2",))
+        await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 2)
+        assert (await fleet.send(daemon))[0] == 401
+        assert (await fleet.send(daemon, key="k2"))[0] == 200
+
+    async def test_no_key_works_when_the_store_is_silent_for_too_long(self, fleet):
+        # Guards against a key that was withdrawn where this instance cannot see it.
+        await fleet.add_upstream()
+        daemon = await fleet.add_gateway(bounds=Bounds(key_seconds=1.6))
+        fleet.store.is_away = True
+        await fleet.await_true(lambda: not daemon.is_ready())
+        status, headers, _ = await fleet.send(daemon)
+        assert status == 503
+        assert "Retry-After" in headers
+
+    async def test_an_older_configuration_never_comes_back(self, fleet):
+        daemon = await start(fleet, "whole")
+        fleet.configure(version=5)
+        await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 5)
+        fleet.configure(version=4, keys=())
+        revision = fleet.store.revision
+        await fleet.await_true(lambda: daemon.follower.revision >= revision)
+        assert daemon.follower.deployment.bundle.version == 5
+
+
+class TestRates:
+    async def test_the_rate_holds_over_all_gateways(self, fleet):
+        # Guards against instances that each give the whole rate.
+        fleet.configure(version=2, rate=3.0)
+        first = await start(fleet, "whole")
+        second = await fleet.add_gateway(domain="b")
+        await fleet.await_true(lambda: len(second.follower.members) == 2)
+        started = asyncio.get_running_loop().time()
+        statuses = [
+            (await fleet.send(daemon))[0]
+            for _ in range(15)
+            for daemon in (first, second)
+        ]
+        passed = asyncio.get_running_loop().time() - started
+        assert statuses.count(200) <= 3.0 * passed + 3.0 + 1.0
+        assert statuses.count(429) > 0
+
+
+class TestLenders:
+    async def test_a_silent_lender_is_passed_over(self, fleet, monkeypatch):
+        # Guards against requests that wait for a lender that was killed.
+        monkeypatch.setattr(lending, "ANSWER_SECONDS", 0.02)
+        daemon = await start(fleet, "whole")
+        for number in range(4):
+            value = f'["127.0.0.1:{number + 1}", "a"]'.encode()
+            fleet.store.put(f"members/dead-{number}", value)
+        await fleet.await_true(lambda: len(daemon.follower.members) == 5)
+        for _ in range(3):
+            assert (await fleet.send(daemon))[0] == 200
+
+    async def test_a_domain_without_upstreams_borrows_elsewhere(self, fleet):
+        await fleet.add_upstream(domain="b")
+        far = await fleet.add_gateway(domain="b")
+        near = await fleet.add_gateway(domain="a")
+        await fleet.await_true(lambda: len(near.follower.members) == 2)
+        await fleet.await_true(lambda: len(far.follower.rights) == rights.RIGHT_COUNT)
+        assert (await fleet.send(near))[0] == 200
+
+
+class TestStop:
+    async def test_a_planned_stop_cuts_no_request(self, fleet):
+        # Guards against answers that are lost when an instance is replaced.
+        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
+        upstream = await fleet.add_upstream()
+        await fleet.await_true(lambda: daemon.follower.upstreams.version > 0)
+        await fleet.await_true(
+            lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT
+        )
+        stopping = asyncio.create_task(daemon.stop())
+        await fleet.await_true(lambda: not daemon.is_ready())
+        status, headers, _ = await fleet.send(daemon, "/reads/1")
+        assert status in (200, 503)
+        assert headers["Connection"] == "close"
+        await stopping
+        assert len(upstream.runs) <= 1
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -85,6 +85,11 @@
         self.rights: dict[str, Stored] = {}
         peers.register(ChangesAsked, self._tell_changes)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which all changes are known."""
+        return self._log.revision
+
     def subscribe(self, listener: Listener) -> None:
         """Call a function after each change."""
         self._listeners.append(listener)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -188,15 +188,24 @@
         want = self._build_want(call, body)
         attempts = call.route.attempts if body.repeatable else 1
 
+        sent: list[Order] = []
+
         def build(slot: Borrowed, seconds: float) -> Order:
-            return self._build_order(call, body, slot, seconds)
+            sent.append(self._build_order(call, body, slot, seconds))
+            return sent[-1]
 
         running = self._executor.run(want, attempts, build, trace.sends)
         if want.repeatable:
             return self._conclude(await running)
         # Work with an effect goes on when its caller leaves: a cut in the middle would
-        # leave unknown whether it ran.
-        return self._conclude(await asyncio.shield(asyncio.create_task(running)))
+        # leave unknown whether it ran. What was not sent yet is dropped.
+        task = asyncio.create_task(running)
+        try:
+            return self._conclude(await asyncio.shield(task))
+        except asyncio.CancelledError:
+            if not sent:
+                task.cancel()
+            raise
 
     def _build_want(self, call: Call, body: Body) -> Want:
         request = call.request
--- /dev/null
+++ b/libraries/limits/shallotspindle_limits/leased_test.py
@@ -0,0 +1,47 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotspindle_core.identifiers import TeamName
+from shallotspindle_limits.leased import Exhausted, Promise, TeamBuckets
+from shallotspindle_limits.records import Limit
+
+TEAM = TeamName("museum")
+LIMIT = Limit(10.0, 5.0)
+
+
+class TestTake:
+    def test_a_new_holder_has_no_token(self):
+        # Guards against a burst that the former holder has spent already.
+        buckets = TeamBuckets(100.0)
+        assert isinstance(buckets.take(TEAM, LIMIT, 0.0, 100.0), Exhausted)
+
+    def test_a_token_that_comes_soon_is_promised(self):
+        buckets = TeamBuckets(0.0)
+        assert buckets.take(TEAM, LIMIT, 0.15, 0.0) == Promise(0.1)
+        assert isinstance(buckets.take(TEAM, LIMIT, 0.15, 0.0), Exhausted)
+
+    def test_a_lower_limit_applies_at_once(self):
+        buckets = TeamBuckets(0.0)
+        lower = Limit(1.0, 1.0)
+        assert buckets.take(TEAM, lower, 0.0, 100.0) == Promise(0.0)
+        assert isinstance(buckets.take(TEAM, lower, 0.0, 100.0), Exhausted)
+
+    @given(
+        st.lists(st.floats(0.0, 0.3), min_size=1, max_size=80),
+        st.floats(0.0, 0.2),
+    )
+    def test_no_window_holds_more_than_rate_and_burst(self, gaps, wait):
+        # Guards against promised tokens that pass the rate in some window.
+        buckets = TeamBuckets(0.0)
+        now = 0.0
+        used = []
+        for gap in gaps:
+            now += gap
+            taken = buckets.take(TEAM, LIMIT, wait, now)
+            if isinstance(taken, Promise):
+                used.append(now + taken.after)
+        used.sort()
+        for first, start in enumerate(used):
+            for last in range(first, len(used)):
+                allowed = LIMIT.rate * (used[last] - start) + LIMIT.burst
+                assert last - first + 1 <= allowed + 1 + 1e-6
