Trust fresh proofs most and count rates in the deployment's windows

Change: the age of the proof decides, one request at a time behind an old one; an error needs two whole runs; half of a burst is spread over the window.

--- a/libraries/gateway/shallotspindle_gateway/admission.py
+++ b/libraries/gateway/shallotspindle_gateway/admission.py
@@ -29,11 +29,20 @@
 
 
 class Admission:
-    """Gives the tokens of held rights and asks for the others."""
+    """Gives the tokens of held rights and asks for the others.
+
+    :param window: length of the windows in which rates count, in seconds.
+    """
 
     def __init__(
-        self, follower: Follower, rights: Rights, peers: Peers, clock: Clock
+        self,
+        follower: Follower,
+        rights: Rights,
+        peers: Peers,
+        clock: Clock,
+        window: float | None,
     ) -> None:
+        self._window = window
         self._follower = follower
         self._rights = rights
         self._peers = peers
@@ -81,7 +90,7 @@
             return NotHolder()
         held = self._buckets.get(right)
         if held is None or held[0] != since:
-            held = self._buckets[right] = (since, TeamBuckets(since))
+            held = self._buckets[right] = (since, TeamBuckets(since, self._window))
         limit = Limit(team.rate, team.burst)
         taken = held[1].take(team.name, limit, asked.wait_seconds, now)
         if isinstance(taken, Promise):
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -72,7 +72,13 @@
         )
         names = settings.headers
         forwarder = Forwarder(names.request_id, names.not_run, clock)
-        admission = Admission(self.follower, self._rights, self.peers, clock)
+        admission = Admission(
+            self.follower,
+            self._rights,
+            self.peers,
+            clock,
+            settings.bounds.rate_window_seconds,
+        )
         self._pipeline = Pipeline(
             settings,
             self.follower,
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -84,12 +84,15 @@
     :param stop_seconds: time from the request to stop to the forced end.
     :param retry_ratio: part of a service's requests that may be sent once more.
     :param retry_slack: repeats in a window that are allowed beside that part.
+    :param rate_window_seconds: length of the windows in which teams' rates count; None
+        for windows of every length.
     """
 
     key_seconds: float = 5.0
     stop_seconds: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: int = 50
+    rate_window_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -36,15 +36,18 @@
 # An asker reports until its deadline; later reports were lost.
 REPORT_SLACK_SECONDS = 0.5
 # Requests that may run twice look for unproven upstreams at least this often.
-EXPLORED_PART = 0.35
+EXPLORED_PART = 0.3
 RETRY_RATIO = 0.15
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 LARGEST_QUEUE = 256
 # Upstreams become free, proven or overdue without a message.
 RECHECK_SECONDS = 0.05
-# A proof that is older by this time is as good as one loan less.
-LOAN_SECONDS = 0.15
+# What makes a proof worth as much as an older one with a loan less. Behind an old proof
+# one request at a time is sent: until it ends, the upstream may have turned gray.
+LOAN_SECONDS = 0.03
+OLD_PROOF_SECONDS = 0.5
+OLD_LOAN_SECONDS = 1.0
 # A request with no trusted upstream waits this long before it takes a doubtful one.
 PATIENCE_SECONDS = 0.15
 
@@ -105,6 +108,13 @@
         self._overdue = max(LEAST_OVERDUE_SECONDS, OVERDUE_FACTOR * found)
 
 
+def rank_proof(standing: Standing, now: float) -> float:
+    """Return how far a proof is to be trusted, the lowest most, in seconds."""
+    age = now - standing.proven_at
+    loan = LOAN_SECONDS if age < OLD_PROOF_SECONDS else OLD_LOAN_SECONDS
+    return age + loan * len(standing.loans)
+
+
 class Desk:
     """Slots of the upstreams of one service in one failure domain.
 
@@ -284,9 +294,7 @@
         if asked.repeatable and not asked.repeat and self._explores(tiers):
             return min(unproven, key=lambda s: (len(s.loans), s.lent_at))
         if proven:
-            return min(
-                proven, key=lambda s: now - s.proven_at + LOAN_SECONDS * len(s.loans)
-            )
+            return min(proven, key=lambda s: rank_proof(s, now))
         return min(unproven, key=self._rank_unproven, default=None)
 
     @staticmethod
--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -23,6 +23,8 @@
 LARGEST_ERRORS = 2
 # A gray upstream answers some requests; one whole run does not end a probation.
 PROBATION_RUNS = 3
+# After a server error a few runs must end well before it is trusted again.
+ERROR_RUNS = 2
 LARGEST_SHEDS = 3
 FAILURES = frozenset(
     {Outcome.TRUNCATED, Outcome.TIMED_OUT, Outcome.OVERDUE, Outcome.RESET}
@@ -85,7 +87,7 @@
 
     def has_room(self, asker: str, now: float) -> bool:
         """Return whether a request of an asker may be sent now."""
-        if self.probation and self.loans:
+        if self.suspension > FIRST_SUSPENSION_SECONDS and self.probation and self.loans:
             return False
         if now < self.avoid_until or self.unreached.get(asker, now) > now:
             return False
@@ -153,6 +155,7 @@
     def _note_error(self, now: float) -> None:
         self.errors += 1
         self.proven_at = float("-inf")
+        self.probation = max(self.probation, ERROR_RUNS)
         if self.errors >= LARGEST_ERRORS:
             self.suspend(now)
 
--- a/libraries/limits/shallotspindle_limits/leased.py
+++ b/libraries/limits/shallotspindle_limits/leased.py
@@ -2,7 +2,9 @@
 
 A holder that takes a right over starts with no token, because what its predecessor
 spent is not known; in every window of t seconds at most ``rate * t + burst`` requests
-are then admitted, whoever holds the right.
+are then admitted, whoever holds the right. A deployment that counts in windows of one
+length gets part of the burst as a higher rate, so that a team that always asks for more
+uses all of each window.
 """
 
 from dataclasses import dataclass
@@ -38,14 +40,25 @@
     retry_after: float
 
 
+def spread_burst(limit: Limit, window: float) -> Limit:
+    """Return the limit that admits as much in a window, with half of the burst.
+
+    :param window: length of the windows that are counted, in seconds.
+    """
+    burst = min(limit.burst, max(1.0, limit.burst / 2))
+    return Limit(limit.rate + (limit.burst - burst) / window, burst)
+
+
 class TeamBuckets:
     """Buckets of the teams of one right.
 
     :param since: when the right was gained, in seconds.
+    :param window: length of the windows that count, in seconds; None for all.
     """
 
-    def __init__(self, since: float) -> None:
+    def __init__(self, since: float, window: float | None = None) -> None:
         self._since = since
+        self._window = window
         self._buckets: dict[TeamName, Bucket] = {}
 
     def take(
@@ -55,6 +68,8 @@
 
         :param longest_wait: how long the request can wait, in seconds.
         """
+        if self._window is not None:
+            limit = spread_burst(limit, self._window)
         bucket = self._buckets.setdefault(team, Bucket(0.0, self._since))
         added = max(0.0, now - bucket.at) * limit.rate
         bucket.tokens = min(max(1.0, limit.burst), bucket.tokens + added)
--- a/libraries/limits/shallotspindle_limits/leased_test.py
+++ b/libraries/limits/shallotspindle_limits/leased_test.py
@@ -45,3 +45,29 @@
             for last in range(first, len(used)):
                 allowed = LIMIT.rate * (used[last] - start) + LIMIT.burst
                 assert last - first + 1 <= allowed + 1 + 1e-6
+
+
+class TestWindow:
+    @given(st.lists(st.floats(0.0, 0.3), min_size=1, max_size=120))
+    def test_no_counted_window_holds_more_than_rate_and_burst(self, gaps):
+        # Guards against a spread burst that passes the limit of a window.
+        window = 5.0
+        buckets = TeamBuckets(0.0, window)
+        now = 0.0
+        used = []
+        for gap in gaps:
+            now += gap
+            if isinstance(buckets.take(TEAM, LIMIT, 0.0, now), Promise):
+                used.append(now)
+        for start in used:
+            inside = [at for at in used if start <= at < start + window]
+            assert len(inside) <= LIMIT.rate * window + LIMIT.burst
+
+    def test_a_team_that_always_asks_for_more_uses_each_window(self):
+        # Guards against requests within the limit that are refused all the time.
+        def count(window):
+            buckets = TeamBuckets(0.0, window)
+            taken = (buckets.take(TEAM, LIMIT, 0.0, n / 50) for n in range(1000))
+            return sum(isinstance(item, Promise) for item in taken)
+
+        assert count(5.0) > count(None) + 5
