Serve what can be on time first, and stop on SIGTERM as planned

Change: questions that can be on time go first, hopeless ones are refused at once, shedding suspends nobody, looping services report their start, and a restarted instance takes the rights of its former process at once.

--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -251,7 +251,9 @@
         )
         daemon = Daemon(settings, self.store, Documents(), SystemClock())
         self.daemons.append(daemon)
+        loop = asyncio.get_running_loop()
         for service in daemon.services:
+            service.set_loop(loop)
             self._helpers.append(asyncio.create_task(service.start()))
         await self.await_true(daemon.is_ready)
         return daemon
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -99,6 +99,7 @@
         return now - self._confirmed_at
 
     async def start(self) -> None:
+        self.start_event.set()
         while True:
             if not self._log.revision:
                 await self._read_all()
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -56,6 +56,7 @@
     :param hedge: whether another send is still on its way.
     :param heavy: whether its body is dear to send to another failure domain.
     :param until: when the request must be answered, in seconds.
+    :param objective_until: when its answer is late, in seconds.
     """
 
     service: ServiceName
@@ -64,6 +65,7 @@
     priority: int
     heavy: bool
     until: float
+    objective_until: float
     fingerprint: int
     hedge: bool = False
     avoid: tuple[UpstreamName, ...] = ()
@@ -120,6 +122,7 @@
         peers.register(CrashSeen, self._hear_crash)
 
     async def start(self) -> None:
+        self.start_event.set()
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.boottime()
@@ -235,6 +238,7 @@
         return None
 
     def _build_question(self, want: Want, wait: float) -> SlotAsked:
+        now = self._clock.boottime()
         return SlotAsked(
             next(self._numbers),
             self._own.address,
@@ -242,7 +246,8 @@
             want.repeatable,
             want.repeat,
             want.priority,
-            max(0.0, want.until - self._clock.boottime()),
+            max(0.0, want.until - now),
+            want.objective_until - now,
             wait,
             want.fingerprint,
             want.avoid,
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -44,6 +44,7 @@
     """A request that passed the checks.
 
     :param team: team of the key; None on an open route.
+    :param arrived: when the request came, in seconds.
     :param until: when the caller must have its answer, in seconds.
     """
 
@@ -51,6 +52,7 @@
     route: Route
     service: ServiceName
     team: Team | None
+    arrived: float
     until: float
 
 
@@ -157,7 +159,7 @@
         until = now + min(given - WAY_SECONDS, route.timeout)
         service = choose_service(route, self._random)
         trace.service = service
-        return Call(request, route, service, team, until)
+        return Call(request, route, service, team, now, until)
 
     def _find_team(
         self, request: web.BaseRequest, deployment: Deployment, route: Route
@@ -222,6 +224,7 @@
             priority=call.route.priority if priority is None else priority,
             heavy=len(body.start) > HEAVY_BYTES,
             until=call.until,
+            objective_until=call.arrived + (call.route.objective or call.route.timeout),
             fingerprint=fingerprint,
         )
 
--- a/libraries/gateway/shallotspindle_gateway/rights.py
+++ b/libraries/gateway/shallotspindle_gateway/rights.py
@@ -82,6 +82,7 @@
         return json.loads(item.value)[0]
 
     async def start(self) -> None:
+        self.start_event.set()
         while not self._leaving:
             pause = await self._keep()
             self._wake.clear()
@@ -165,13 +166,14 @@
     def _list_vacant(self) -> dict[str, int]:
         """Return the rights to take, with the revision that they must still have."""
         now = self._clock.boottime()
-        if self._leaving or now - self._started < SETTLING_SECONDS:
+        if self._leaving:
             return {}
         vacant = {}
+        settled = now - self._started >= SETTLING_SECONDS
         for key in RIGHT_KEYS:
             item = self._follower.rights.get(key)
             if item is None:
-                if self._is_first(key):
+                if settled and self._is_first(key):
                     vacant[key] = 0
             elif self._is_own_former(item):
                 vacant[key] = item.revision
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -2,8 +2,11 @@
 
 All requests of a domain are decided here, so that nobody collides on two slots and
 what one request saw protects the next one. Requests that may run twice prove upstreams
-of which nothing is known; the others go where a run has just ended well. The queue is
-ordered by priority and then by arrival.
+of which nothing is known; the others go where a run has just ended well.
+
+Under more load than the upstreams carry, requests that can still be on time go first,
+by priority and then by arrival; what is late anyway gets the rest. A request that the
+queue cannot reach in time is refused at once.
 """
 
 from collections import deque
@@ -31,6 +34,8 @@
 OVERDUE_FACTOR = 1.15
 LEAST_OVERDUE_SECONDS = 0.15
 FIRST_OVERDUE_SECONDS = 0.35
+FIRST_WORK_SECONDS = 0.15
+USUAL_QUANTILE = 0.7
 DURATION_COUNT = 200
 LEAST_DURATIONS = 20
 # An asker reports until its deadline; later reports were lost.
@@ -40,7 +45,6 @@
 RETRY_RATIO = 0.15
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
-LARGEST_QUEUE = 256
 # Upstreams become free, proven or overdue without a message.
 RECHECK_SECONDS = 0.05
 # What makes a proof worth as much as an older one with a loan less. Behind an old proof
@@ -68,6 +72,14 @@
     def key(self) -> LoanKey:
         return (self.asked.asker, self.asked.number)
 
+    def rank(self, work: float, now: float) -> tuple[bool, int, float]:
+        """Return the place in the queue, the lowest first.
+
+        :param work: time that most runs take, in seconds.
+        """
+        left = self.asked.objective_seconds - (now - self.since)
+        return (left < work, self.asked.priority, self.since)
+
 
 @dataclass(frozen=True, slots=True)
 class Addressed:
@@ -83,6 +95,7 @@
     def __init__(self) -> None:
         self._latest: deque[float] = deque(maxlen=DURATION_COUNT)
         self._overdue = FIRST_OVERDUE_SECONDS
+        self._usual = FIRST_WORK_SECONDS
         self._count = 0
 
     @property
@@ -94,9 +107,14 @@
     def mean(self) -> float:
         """Mean time of a run, in seconds."""
         if not self._latest:
-            return FIRST_OVERDUE_SECONDS
+            return FIRST_WORK_SECONDS
         return sum(self._latest) / len(self._latest)
 
+    @property
+    def usual(self) -> float:
+        """Time that most runs take, in seconds."""
+        return self._usual
+
     def add(self, seconds: float) -> None:
         """Count the time of a run."""
         self._latest.append(seconds)
@@ -106,6 +124,7 @@
         ordered = sorted(self._latest)
         found = ordered[int(OVERDUE_QUANTILE * len(ordered))]
         self._overdue = max(LEAST_OVERDUE_SECONDS, OVERDUE_FACTOR * found)
+        self._usual = ordered[int(USUAL_QUANTILE * len(ordered))]
 
 
 def rank_proof(standing: Standing, now: float) -> float:
@@ -169,16 +188,40 @@
             return [self._refuse(asked, refused)]
         if not asked.repeat:
             self._budget.count_request(now)
-        waiting = Waiting(asked, now, now + asked.wait_seconds)
-        lent = self._serve(waiting, now)
-        if lent is not None:
-            return [lent]
-        if asked.wait_seconds <= 0 or len(self._queue) >= LARGEST_QUEUE:
+        last_start = max(0.0, asked.seconds - self._durations.mean)
+        waiting = Waiting(asked, now, now + min(asked.wait_seconds, last_start))
+        if not self._queue or self._is_next(waiting, now):
+            lent = self._serve(waiting, now)
+            if lent is not None:
+                return [lent]
+        if waiting.until <= now or self._is_hopeless(waiting, now):
             return [self._refuse(asked, Reason.BUSY)]
         self._queue.append(waiting)
-        self._queue.sort(key=lambda item: (item.asked.priority, item.since))
         return []
 
+    def _is_next(self, waiting: Waiting, now: float) -> bool:
+        """Return whether a question would be the first of the queue."""
+        usual = self._durations.usual
+        rank = waiting.rank(usual, now)
+        return all(rank < item.rank(usual, now) for item in self._queue)
+
+    def _is_hopeless(self, waiting: Waiting, now: float) -> bool:
+        """Return whether the queue cannot reach a question in time."""
+        usual = self._durations.usual
+        rank = waiting.rank(usual, now)
+        ahead = sum(item.rank(usual, now) <= rank for item in self._queue)
+        turns = ahead / max(1, self._count_slots(now))
+        return now + turns * self._durations.mean > waiting.until
+
+    def _count_slots(self, now: float) -> int:
+        """Return the slots of the upstreams that are not suspended."""
+        overdue = self._durations.overdue
+        return sum(
+            item.announcement.slots
+            for item in self._standings.values()
+            if item.rank(overdue, now) is not Tier.SUSPENDED
+        )
+
     def give_back(self, returned: SlotReturned, now: float) -> list[Addressed]:
         """Take a slot back and lend it again."""
         key = (returned.asker, returned.number)
@@ -213,6 +256,8 @@
         """Lend free slots to what waits, and refuse what waited too long."""
         for standing in self._standings.values():
             standing.expire(now)
+        usual = self._durations.usual
+        self._queue.sort(key=lambda item: item.rank(usual, now))
         decided: list[Addressed] = []
         left: list[Waiting] = []
         for item in self._queue:
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -34,7 +34,7 @@
 
 
 def ask(number: int, **changes) -> SlotAsked:
-    asked = SlotAsked(number, "me", SERVICE, False, False, 1, 1.0, 0.5, number)
+    asked = SlotAsked(number, "me", SERVICE, False, False, 1, 1.0, 0.5, 0.5, number)
     return replace(asked, **changes)
 
 
@@ -107,6 +107,25 @@
         (decision,) = fixture.give_back(first, lent, Outcome.WHOLE, 0.05)
         assert decision.number == 4
 
+    def test_what_can_be_on_time_goes_before_what_is_late(self):
+        # Guards against an overload in which every answer comes a little too late.
+        fixture = Fixture(count=1)
+        first = ask(1)
+        lent = fixture.lend(first, 0.0)
+        fixture.lend(ask(2), 0.0)
+        assert fixture.decide(ask(3, objective_seconds=0.2), 0.0) == []
+        assert fixture.decide(ask(4), 0.08) == []
+        (decision,) = fixture.give_back(first, lent, Outcome.WHOLE, 0.1)
+        assert decision.number == 4
+
+    def test_what_the_queue_cannot_reach_is_refused_at_once(self):
+        # Guards against requests that are held until their deadline for nothing.
+        fixture = Fixture(count=1)
+        decided = [fixture.decide(ask(number), 0.0) for number in range(1, 40)]
+        refused = [d[0] for d in decided if d and isinstance(d[0], SlotRefused)]
+        assert {item.reason for item in refused} == {Reason.BUSY}
+        assert fixture.desk.queued < 12
+
     def test_a_question_that_may_not_wait_is_refused_at_once(self):
         fixture = Fixture(count=1)
         fixture.lend(ask(1), 0.0)
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -44,6 +44,7 @@
     :param repeat: whether the request was sent to an upstream before.
     :param priority: rank of the request; 0 is the highest.
     :param seconds: time until the request must be answered.
+    :param objective_seconds: time until its answer is late.
     :param wait_seconds: time for which the question may be queued.
     :param fingerprint: hash by which the same request is recognised later.
     :param avoid: upstreams that the request was sent to before.
@@ -56,6 +57,7 @@
     repeat: bool
     priority: int
     seconds: float
+    objective_seconds: float
     wait_seconds: float
     fingerprint: int
     avoid: tuple[UpstreamName, ...] = ()
--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -16,7 +16,7 @@
 FIRST_SUSPENSION_SECONDS = 1.0
 LONGEST_SUSPENSION_SECONDS = 4.0
 MISDIRECTED_SECONDS = 5.0
-SHED_SECONDS = 0.15
+SHED_SECONDS = 0.05
 # One way between the asker and the upstream may be cut for some seconds.
 PAIR_SECONDS = 3.0
 LEAST_UNREACHED_ASKERS = 2
@@ -25,7 +25,6 @@
 PROBATION_RUNS = 3
 # After a server error a few runs must end well before it is trusted again.
 ERROR_RUNS = 2
-LARGEST_SHEDS = 3
 FAILURES = frozenset(
     {Outcome.TRUNCATED, Outcome.TIMED_OUT, Outcome.OVERDUE, Outcome.RESET}
 )
@@ -76,7 +75,6 @@
     suspension: float = FIRST_SUSPENSION_SECONDS
     probation: int = 0
     errors: int = 0
-    sheds: int = 0
     unreached: dict[str, float] = field(default_factory=dict)
 
     def expire(self, now: float) -> None:
@@ -146,7 +144,7 @@
     def _note_whole(self, started: float) -> None:
         if started < self.failed_at:
             return
-        self.errors = self.sheds = 0
+        self.errors = 0
         self.probation = max(0, self.probation - 1)
         if not self.probation:
             self.proven_at = max(self.proven_at, started)
@@ -160,10 +158,13 @@
             self.suspend(now)
 
     def _note_shed(self, now: float) -> None:
-        self.sheds += 1
+        """Send work elsewhere for a moment.
+
+        Shedding upstreams are not suspended: when all of them shed a part, suspensions
+        would take the capacity that is left.
+        """
         self.avoid_until = now + SHED_SECONDS
-        if self.sheds >= LARGEST_SHEDS:
-            self.suspend(now)
+        self.proven_at = float("-inf")
 
     def _note_unreached(self, asker: str, now: float) -> None:
         self.unreached = {a: t for a, t in self.unreached.items() if t > now}
--- a/libraries/lending/shallotspindle_lending/standing_test.py
+++ b/libraries/lending/shallotspindle_lending/standing_test.py
@@ -73,6 +73,15 @@
         standing.note(Outcome.ERROR, "a", 0.2, 0.3)
         assert standing.rank(OVERDUE, 0.4) is Tier.SUSPENDED
 
+    def test_an_upstream_that_sheds_is_not_suspended(self):
+        # Guards against the loss of all capacity when every upstream sheds a part.
+        standing = build_standing()
+        for number in range(10):
+            standing.note(Outcome.SHED, "a", number, number + 0.01)
+        assert not standing.has_room("a", 9.02)
+        assert standing.has_room("a", 9.1)
+        assert standing.rank(OVERDUE, 9.1) is Tier.UNPROVEN
+
     def test_a_slot_that_nobody_returns_counts_as_a_failure(self):
         standing = build_standing()
         standing.loans[("a", 1)] = Loan(0.0, 1.0, False, 7)
