Count a request for the retry budget where it is sent

Cause: a question that a busy desk passes on was counted at each desk, which made the budget of the fleet too large. Change: the desk that lends counts; without a lender nothing is sent twice.

--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -300,7 +300,12 @@
         return SlotRefused(asked.number, Reason.BUSY, HEDGE_SECONDS)
 
     def _borrow_alone(self, want: Want) -> Borrowed | None:
-        """Choose an upstream without a lender; every lender is silent."""
+        """Choose an upstream without a lender; every lender is silent.
+
+        Without a lender there is no budget for repeats.
+        """
+        if want.repeat:
+            return None
         usable = self._follower.upstreams.list_usable(want.service)
         names = sorted(usable.keys() - set(want.avoid))
         near = [n for n in names if usable[n].announcement.domain == self._own.domain]
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -42,7 +42,7 @@
 REPORT_SLACK_SECONDS = 0.5
 # Requests that may run twice look for unproven upstreams at least this often.
 EXPLORED_PART = 0.3
-RETRY_RATIO = 0.15
+RETRY_RATIO = 0.18
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 # Upstreams become free, proven or overdue without a message.
@@ -186,8 +186,6 @@
         refused = self._find_refusal(asked, now)
         if refused is not None:
             return [self._refuse(asked, refused)]
-        if not asked.repeat:
-            self._budget.count_request(now)
         last_start = max(0.0, asked.seconds - self._durations.mean)
         waiting = Waiting(asked, now, now + min(asked.wait_seconds, last_start))
         if not self._queue or self._is_next(waiting, now):
@@ -303,6 +301,9 @@
         chosen = self._choose(item, now)
         if chosen is None:
             return None
+        if not asked.repeat:
+            # Counted where it is sent: a busy desk passes its questions on to others.
+            self._budget.count_request(now)
         left = asked.seconds - (now - item.since)
         until = now + left + REPORT_SLACK_SECONDS
         chosen.loans[(asked.asker, asked.number)] = Loan(
