Log why no slot was lent and what upstreams failed

Cause: a refusal 'no-slot' and a suspension could not be traced from the logs. Change: the request's line names the reason; the lender logs failures, within the bound on lines.

--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -19,6 +19,7 @@
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_gateway.following import Follower
+from shallotspindle_gateway.lines import LineBudget
 from shallotspindle_gateway.peers import Peers, Unanswered
 from shallotspindle_gateway.records import Bounds, Member
 from shallotspindle_lending.crashes import Crashes
@@ -33,6 +34,7 @@
     SlotRefused,
     SlotReturned,
 )
+from shallotspindle_lending.standing import FAILURES
 
 ANSWER_SECONDS = 0.1
 # A lender that did not answer is asked last for this time.
@@ -86,6 +88,7 @@
 
 
 Answer = SlotLent | SlotRefused
+LOGGED_OUTCOMES = FAILURES | {Outcome.MISDIRECTED, Outcome.NOT_CONNECTED}
 
 
 class Lending(Service):
@@ -108,6 +111,7 @@
         self._bounds = bounds
         self._clock = clock
         self._random = random
+        self._lines = LineBudget(clock)
         self._numbers = itertools.count(1)
         self._crashes = Crashes()
         self._desks: dict[ServiceName, Desk] = {}
@@ -163,6 +167,15 @@
 
     def _take_back(self, sender: str, returned: SlotReturned) -> None:
         desk = self._find_desk(returned.service)
+        if returned.outcome in LOGGED_OUTCOMES and self._lines.take():
+            logging.info(
+                "upstream %s of %s: %s after %.3f s, told by %s",
+                returned.upstream,
+                returned.service,
+                returned.outcome.value,
+                returned.seconds,
+                returned.asker,
+            )
         self._deliver(desk.give_back(returned, self._clock.boottime()))
 
     def _deliver(self, decided: Iterable[Addressed]) -> None:
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -61,6 +61,7 @@
     """What the log says of a request.
 
     :param age: time since the last confirmation of the configuration, in seconds.
+    :param no_slot: why no slot was lent, if that ended the request.
     """
 
     request_id: str
@@ -69,6 +70,7 @@
     route: str = ""
     team: str = ""
     service: str = ""
+    no_slot: str = ""
     sends: list[Sent] = field(default_factory=list)
 
 
@@ -198,12 +200,12 @@
 
         running = self._executor.run(want, attempts, build, trace.sends)
         if want.repeatable:
-            return self._conclude(await running)
+            return self._conclude(await running, trace)
         # Work with an effect goes on when its caller leaves: a cut in the middle would
         # leave unknown whether it ran. What was not sent yet is dropped.
         task = asyncio.create_task(running)
         try:
-            return self._conclude(await asyncio.shield(task))
+            return self._conclude(await asyncio.shield(task), trace)
         except asyncio.CancelledError:
             if not sent:
                 task.cancel()
@@ -246,9 +248,10 @@
         )
 
     @staticmethod
-    def _conclude(result: Answer | Failed) -> Answer | Refusal:
+    def _conclude(result: Answer | Failed, trace: Trace) -> Answer | Refusal:
         if isinstance(result, Answer):
             return result
+        trace.no_slot = result.reason.value if result.reason else ""
         if not result.may_have_run:
             if result.reason is Reason.HELD:
                 return refusals.HELD
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -13,37 +13,14 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.forwarding import Answer
+from shallotspindle_gateway.lines import LineBudget
 from shallotspindle_gateway.pipeline import Trace
 from shallotspindle_gateway.refusals import Refusal
 
-LINES_A_SECOND = 50.0
-BURST_LINES = 200.0
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
 Write = Callable[[str], object]
 
 
-class LineBudget:
-    """Bounds the number of log lines."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._tokens = BURST_LINES
-        self._at = clock.boottime()
-        self.left_out = 0
-
-    def take(self) -> bool:
-        """Return whether a line may be written; count it if not."""
-        now = self._clock.boottime()
-        added = (now - self._at) * LINES_A_SECOND
-        self._tokens = min(BURST_LINES, self._tokens + added)
-        self._at = now
-        if self._tokens < 1:
-            self.left_out += 1
-            return False
-        self._tokens -= 1
-        return True
-
-
 class Reporter:
     """Writes a line and counts for each answer."""
 
@@ -102,6 +79,7 @@
             "route": trace.route,
             "team": trace.team,
             "service": trace.service,
+            "no_slot": trace.no_slot,
             "version": trace.version,
             "confirmed_before": round(min(trace.age, 9999.0), 3),
             "sends": [
