Do not blame upstreams for routes that always time out

Ruled out: cut pairs (after a time-out the same pair answers as often as others). Change: a desk counts whole runs and time-outs by route; time-outs of a route that nearly always times out say nothing about an upstream.

--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -69,6 +69,7 @@
     until: float
     objective_until: float
     fingerprint: int
+    route: int
     hedge: bool = False
     avoid: tuple[UpstreamName, ...] = ()
 
@@ -264,6 +265,7 @@
             wait,
             want.fingerprint,
             want.avoid,
+            want.route,
         )
 
     async def _borrow_from(
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -228,6 +228,7 @@
             until=call.until,
             objective_until=call.arrived + (call.route.objective or call.route.timeout),
             fingerprint=fingerprint,
+            route=hashing.hash_text("route", call.route.name),
         )
 
     def _build_order(
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -25,6 +25,7 @@
     SlotRefused,
     SlotReturned,
 )
+from shallotspindle_lending.routes import SlowRoutes
 from shallotspindle_lending.standing import Loan, LoanKey, Standing, Tier
 from shallotspindle_registry.directory import Known
 from shallotspindle_retries.budget import Budget
@@ -153,6 +154,7 @@
         self._random = random
         self._budget = Budget(RETRY_RATIO, retries)
         self._durations = Durations()
+        self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
         self._queue: list[Waiting] = []
 
@@ -229,14 +231,25 @@
         standing = self._standings.get(returned.upstream)
         if standing is not None:
             loan = standing.loans.pop(key, None)
-            started = loan.started if loan else now - returned.seconds
-            standing.note(returned.outcome, returned.asker, started, now)
-            if returned.outcome is Outcome.WHOLE:
-                self._durations.add(returned.seconds)
-                if loan is not None:
-                    self._crashes.acquit(loan.fingerprint)
+            self._count(standing, loan, returned, now)
         return self.advance(now)
 
+    def _count(
+        self, standing: Standing, loan: Loan | None, returned: SlotReturned, now: float
+    ) -> None:
+        """Count how a run ended, for its upstream and its route."""
+        started = loan.started if loan else now - returned.seconds
+        outcome = returned.outcome
+        if outcome is Outcome.WHOLE:
+            self._durations.add(returned.seconds)
+            if loan is not None:
+                self._crashes.acquit(loan.fingerprint)
+        if loan is not None and outcome in (Outcome.WHOLE, Outcome.TIMED_OUT):
+            self._routes.note(loan.route, outcome is Outcome.WHOLE)
+        is_slow = loan is not None and self._routes.is_slow(loan.route)
+        if not (is_slow and outcome in (Outcome.TIMED_OUT, Outcome.OVERDUE)):
+            standing.note(outcome, returned.asker, started, now)
+
     def _drop_loan(self, key: LoanKey) -> None:
         """Take back a slot that its asker never heard of."""
         for standing in self._standings.values():
@@ -306,8 +319,9 @@
             self._budget.count_request(now)
         left = asked.seconds - (now - item.since)
         until = now + left + REPORT_SLACK_SECONDS
+        is_slow = self._routes.is_slow(asked.route)
         chosen.loans[(asked.asker, asked.number)] = Loan(
-            now, until, asked.repeatable, asked.fingerprint
+            now, until, asked.fingerprint, asked.route, is_slow
         )
         chosen.lent_at = now
         return self._address(asked, chosen)
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -14,6 +14,7 @@
     SlotRefused,
     SlotReturned,
 )
+from shallotspindle_lending.standing import Tier
 from shallotspindle_registry.directory import Known
 from shallotspindle_registry.records import Announcement, State
 
@@ -95,6 +96,41 @@
         assert refused.reason is Reason.NO_UPSTREAM
 
 
+class TestSlowRoutes:
+    def test_a_route_that_always_times_out_suspends_nobody(self):
+        # Guards against one slow route that takes every sound upstream out of use.
+        fixture = Fixture(count=1)
+        now = 0.0
+        for number in range(1, 12):
+            asked = ask(number, route=5)
+            lent = fixture.lend(asked, now)
+            fixture.give_back(asked, lent, Outcome.TIMED_OUT, now + 0.4, 0.4)
+            now += 5.0
+        other = ask(100, route=6)
+        for _ in range(3):
+            lent = fixture.lend(other, now)
+            fixture.give_back(other, lent, Outcome.WHOLE, now + 0.1)
+            now += 0.1
+        asked = ask(101, route=5)
+        lent = fixture.lend(asked, now)
+        fixture.give_back(asked, lent, Outcome.TIMED_OUT, now + 0.4, 0.4)
+        standing = fixture.desk.standings[UpstreamName("u0")]
+        assert standing.rank(0.3, now + 0.4) is Tier.PROVEN
+
+    def test_time_outs_of_other_routes_still_count(self):
+        fixture = Fixture(count=1)
+        for number in range(1, 4):
+            fixture.prove("u0", 0.0)
+            asked = ask(number, route=number)
+            lent = fixture.lend(asked, 0.1)
+            fixture.give_back(asked, lent, Outcome.WHOLE, 0.2)
+        asked = ask(9, route=1)
+        lent = fixture.lend(asked, 0.3)
+        fixture.give_back(asked, lent, Outcome.TIMED_OUT, 1.3, 1.0)
+        standing = fixture.desk.standings[UpstreamName("u0")]
+        assert standing.rank(0.3, 1.3) is Tier.SUSPENDED
+
+
 class TestQueue:
     def test_a_returned_slot_goes_to_the_most_urgent_question(self):
         # Guards against serving in order of arrival while an urgent request waits.
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -48,6 +48,7 @@
     :param wait_seconds: time for which the question may be queued.
     :param fingerprint: hash by which the same request is recognised later.
     :param avoid: upstreams that the request was sent to before.
+    :param route: hash of the request's route.
     """
 
     number: int
@@ -61,6 +62,7 @@
     wait_seconds: float
     fingerprint: int
     avoid: tuple[UpstreamName, ...] = ()
+    route: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -45,12 +45,14 @@
 
     :param started: when it was lent, in seconds.
     :param until: when it is taken back without a report, in seconds.
+    :param is_slow: whether requests of its route take long wherever they run.
     """
 
     started: float
     until: float
-    repeatable: bool
     fingerprint: int
+    route: int = 0
+    is_slow: bool = False
 
 
 LoanKey = tuple[str, int]
@@ -98,7 +100,8 @@
         """
         if now < self.suspended_until:
             return Tier.SUSPENDED
-        if any(now - loan.started > overdue for loan in self.loans.values()):
+        loans = (loan for loan in self.loans.values() if not loan.is_slow)
+        if any(now - loan.started > overdue for loan in loans):
             return Tier.DOUBTFUL
         if self.probation or now < self.cold_until:
             return Tier.UNPROVEN
--- a/libraries/lending/shallotspindle_lending/standing_test.py
+++ b/libraries/lending/shallotspindle_lending/standing_test.py
@@ -42,7 +42,7 @@
         # Guards against sending more requests to an upstream that hangs.
         standing = build_standing()
         standing.note(Outcome.WHOLE, "a", 0.0, 0.1)
-        standing.loans[("a", 1)] = Loan(1.0, 3.0, False, 7)
+        standing.loans[("a", 1)] = Loan(1.0, 3.0, 7)
         assert standing.rank(OVERDUE, 1.2) is Tier.PROVEN
         assert standing.rank(OVERDUE, 1.4) is Tier.DOUBTFUL
 
@@ -84,7 +84,7 @@
 
     def test_a_slot_that_nobody_returns_counts_as_a_failure(self):
         standing = build_standing()
-        standing.loans[("a", 1)] = Loan(0.0, 1.0, False, 7)
+        standing.loans[("a", 1)] = Loan(0.0, 1.0, 7)
         standing.expire(1.0)
         assert not standing.loans
         assert standing.rank(OVERDUE, 1.1) is Tier.SUSPENDED
@@ -109,5 +109,5 @@
         standing = build_standing()
         for number in range(2):
             assert standing.has_room("a", 0.0)
-            standing.loans[("a", number)] = Loan(0.0, 9.0, False, 7)
+            standing.loans[("a", number)] = Loan(0.0, 9.0, 7)
         assert not standing.has_room("a", 0.0)
