Believe a watcher only as long as the store answers it

Change: a watcher tells how long the store has been silent; followers believe it for 1.2 s, then ask the store. Watchers read all values every 10 s, since a silent watch may miss changes.

--- a/libraries/gateway/shallotspindle_gateway/changelog.py
+++ b/libraries/gateway/shallotspindle_gateway/changelog.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from dataclasses import dataclass
 
 from shallotspindle_gateway.messages import ChangesTold
 from shallotspindle_gateway.storage import Changes, Snapshot, Stored
@@ -14,6 +15,20 @@
 LARGEST_BYTES = 40_000
 
 
+@dataclass(frozen=True, slots=True)
+class Standpoint:
+    """How recent the view of the store is.
+
+    :param age: time since the question to the store that was answered last, in seconds.
+    :param silence: time since that answer, in seconds.
+    :param grace: for how long entries of upstreams that vanish are kept, in seconds.
+    """
+
+    age: float
+    silence: float
+    grace: float = 0.0
+
+
 class ChangeLog:
     """Values at hand and the latest changes, by revision."""
 
@@ -56,28 +71,36 @@
         known = self._items.get(event.key)
         return known is None or known.revision < event.revision
 
-    def tell(self, revision: int, age: float, grace: float) -> ChangesTold:
-        """Return what changed after a revision.
-
-        :param age: time since the last confirmation, in seconds.
-        :param grace: for how long entries of upstreams that vanish are kept.
-        """
+    def tell(self, revision: int, at: Standpoint) -> ChangesTold:
+        """Return what changed after a revision."""
         if revision < self._since or not self.revision:
-            return ChangesTold(self.revision, age, grace, is_lost=True)
-        events = []
+            return self._build(self.revision, at, is_lost=True)
+        events: list[tuple[str, bytes, int, bool]] = []
         size = 0
         told = revision
-        for at, event in self._entries:
-            if at <= revision:
+        for changed_at, event in self._entries:
+            if changed_at <= revision:
                 continue
-            is_removed = isinstance(event, str)
-            entry = (event, b"", 0, True) if is_removed else _pack(event)
+            entry = (event, b"", 0, True) if isinstance(event, str) else _pack(event)
             size += len(entry[0]) + len(entry[1])
-            if size > LARGEST_BYTES and events and at > told:
-                return ChangesTold(told, age, grace, tuple(events), is_whole=False)
+            if size > LARGEST_BYTES and events and changed_at > told:
+                return self._build(told, at, tuple(events), is_whole=False)
             events.append(entry)
-            told = at
-        return ChangesTold(max(self.revision, revision), age, grace, tuple(events))
+            told = changed_at
+        return self._build(max(self.revision, revision), at, tuple(events))
+
+    @staticmethod
+    def _build(
+        revision: int,
+        at: Standpoint,
+        events: tuple[tuple[str, bytes, int, bool], ...] = (),
+        *,
+        is_lost: bool = False,
+        is_whole: bool = True,
+    ) -> ChangesTold:
+        return ChangesTold(
+            revision, at.age, at.silence, at.grace, events, is_lost, is_whole
+        )
 
 
 def _pack(item: Stored) -> tuple[str, bytes, int, bool]:
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -1,10 +1,23 @@
 import asyncio
 
 import pytest
+from expression import Error
 
-from shallotspindle_gateway import lending, rights
-from shallotspindle_gateway.conftest import NAMES
+from shallotspindle_gateway import following, lending, rights
+from shallotspindle_gateway.conftest import NAMES, MemoryStore
 from shallotspindle_gateway.records import Bounds
+from shallotspindle_platform.interface import StoreFailure
+
+
+class AwayStore(MemoryStore):
+    """Store whose calls get no answer."""
+
+    async def follow(self, revision, seconds):
+        await asyncio.sleep(seconds)
+        return Error(StoreFailure("store", "away"))
+
+    async def read_all(self):
+        return await self.follow(0, 1.0)
 
 
 @pytest.fixture(autouse=True)
@@ -139,6 +152,32 @@
         await fleet.await_true(lambda: daemon.follower.revision >= revision)
         assert daemon.follower.deployment.bundle.version == 5
 
+    async def test_a_watcher_that_lost_the_store_is_not_believed(self, fleet):
+        # Guards against a change that comes too late because a watcher is cut off.
+        for _ in range(3):
+            await fleet.add_gateway()
+        await fleet.await_true(
+            lambda: all(len(d.follower.members) == 3 for d in fleet.daemons)
+        )
+        watchers = set(fleet.daemons[0].follower.rank_watchers())
+        cut = [d for d in fleet.daemons if d.peers.address in watchers]
+        (other,) = [d for d in fleet.daemons if d.peers.address not in watchers]
+        for daemon in cut:
+            daemon.follower.store = AwayStore()
+        await asyncio.sleep(following.WATCH_SECONDS + 0.1)
+        fleet.configure(version=2)
+        await fleet.await_true(
+            lambda: other.follower.deployment.bundle.version == 2, seconds=2.0
+        )
+
+    async def test_a_change_that_the_watch_missed_is_found(self, fleet, monkeypatch):
+        # Guards against a watch that goes on behind changes which it never told.
+        monkeypatch.setattr(following, "REREAD_SECONDS", 0.5)
+        daemon = await start(fleet, "whole")
+        fleet.configure(version=2)
+        fleet.store.events.clear()
+        await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 2)
+
 
 class TestRates:
     async def test_the_rate_holds_over_all_gateways(self, fleet):
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -19,7 +19,7 @@
 from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain
-from shallotspindle_gateway.changelog import ChangeLog
+from shallotspindle_gateway.changelog import ChangeLog, Standpoint
 from shallotspindle_gateway.messages import ChangesAsked, ChangesTold
 from shallotspindle_gateway.peers import Peers
 from shallotspindle_gateway.records import NO_DEPLOYMENT, Deployment, Member
@@ -41,12 +41,20 @@
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
 RETRY_SECONDS = 0.25
+# A watcher reads all values this often: a watch that stays silent misses changes.
+REREAD_SECONDS = 10.0
 # How often a watcher is asked for changes.
 POLL_SECONDS = 0.25
 ANSWER_SECONDS = 0.1
-# A neighbour whose own confirmation is older is not taken for fresh.
-LARGEST_AGE_SECONDS = 2.6
+# Silence of the store after which a watcher is not believed. A change must be in force
+# within two seconds, also when the watcher is cut off right after an answer.
+LARGEST_SILENCE_SECONDS = 1.2
+# A neighbour is asked only when the store does not answer; what it knows is better than
+# nothing.
+LARGEST_NEIGHBOUR_SILENCE_SECONDS = 2.5
 NEIGHBOURS_ASKED = 3
+# Stands for an age without end in messages and logs.
+LONGEST_SECONDS = 9999.0
 EXPIRY_SLACK_SECONDS = 0.1
 # Shorter gaps leave no time for entries to lapse.
 OUTAGE_SECONDS = 1.0
@@ -70,15 +78,18 @@
     ) -> None:
         super().__init__(**kwargs)
         self._own = own
-        self._store = store
+        self.store = store
         self._decoder = decoder
         self._peers = peers
         self._clock = clock
         self._log = ChangeLog()
         self._listeners: list[Listener] = []
         self._confirmed_at = float("-inf")
+        # Until when all changes are known, as far as the store answered.
+        self._heard_at = float("-inf")
         # When the store began to fail, or None while it answers.
         self._failing_since: float | None = None
+        self._read_at = float("-inf")
         self.deployment: Deployment = NO_DEPLOYMENT
         self.upstreams = Directory()
         self.members: dict[str, Member] = {}
@@ -106,21 +117,24 @@
             elif await self._hear_watchers():
                 await asyncio.sleep(POLL_SECONDS)
             elif not await self._watch():
-                await self._ask_neighbours(self._list_neighbours())
+                await self._ask_neighbours(
+                    self._list_neighbours(), LARGEST_NEIGHBOUR_SILENCE_SECONDS
+                )
 
     async def _hear_watchers(self) -> bool:
         """Take changes from a watcher, unless this instance is one."""
-        watchers = self._rank_watchers()
+        watchers = self.rank_watchers()
         if self._own.address in watchers:
             return False
-        return await self._ask_neighbours(watchers)
+        return await self._ask_neighbours(watchers, LARGEST_SILENCE_SECONDS)
 
     # What the store says.
 
     async def _read_all(self) -> bool:
         asked_at = self._clock.boottime()
-        match await self._store.read_all():
+        match await self.store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
+                self._read_at = asked_at
                 self._note_store(asked_at)
                 self._apply(self._log.compare(snapshot))
                 await asyncio.sleep(PAUSE_SECONDS)
@@ -132,7 +146,9 @@
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it answered."""
         asked_at = self._clock.boottime()
-        match await self._store.follow(self._log.revision, WATCH_SECONDS):
+        if asked_at - self._read_at > REREAD_SECONDS:
+            return await self._read_all()
+        match await self.store.follow(self._log.revision, WATCH_SECONDS):
             case Result(tag="ok", ok=Changes() as changes):
                 if self._note_store(asked_at):
                     return await self._read_all()
@@ -151,7 +167,7 @@
         """Count an answer; return whether the store was away before it."""
         now = self._clock.boottime()
         since, self._failing_since = self._failing_since, None
-        self._confirm(asked_at)
+        self._confirm(asked_at, now)
         if since is None or now - since < OUTAGE_SECONDS:
             return False
         logging.info("the store answers after %.1f s", now - since)
@@ -163,8 +179,9 @@
         loop = asyncio.get_running_loop()
         loop.call_later(seconds + EXPIRY_SLACK_SECONDS, self._expire)
 
-    def _confirm(self, at: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, at)
+    def _confirm(self, asked_at: float, heard_at: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+        self._heard_at = max(self._heard_at, heard_at)
 
     def _expire(self) -> None:
         self.upstreams.expire(self._clock.boottime())
@@ -173,13 +190,14 @@
     async def _note_failure(self, failure: StoreFailure) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.boottime()
-        age = min(9999.0, self.find_age(self._clock.boottime()))
+        age = min(LONGEST_SECONDS, self.find_age(self._clock.boottime()))
         logging.warning("the store failed, confirmed %.1f s ago: %s", age, failure)
         await asyncio.sleep(RETRY_SECONDS)
 
     # What neighbours say.
 
-    def _rank_watchers(self) -> list[str]:
+    def rank_watchers(self) -> list[str]:
+        """Return the addresses of the instances that watch for this domain."""
         addresses = {
             member.address
             for member in self.members.values()
@@ -197,18 +215,23 @@
         others = hashing.rank_rendezvous(seed, far)
         return [*ranked[: NEIGHBOURS_ASKED - 1], *others[:1]]
 
-    async def _ask_neighbours(self, addresses: list[str]) -> bool:
-        """Take changes from the first neighbour that is fresh."""
+    async def _ask_neighbours(self, addresses: list[str], silence: float) -> bool:
+        """Take changes from the first neighbour that is fresh.
+
+        :param silence: how long the store may have been silent there, in seconds.
+        """
         for address in addresses:
             sent_at = self._clock.boottime()
             asked = ChangesAsked(self._log.revision)
             answer = await self._peers.request(address, asked, ANSWER_SECONDS)
-            if isinstance(answer, ChangesTold) and self._take(answer, sent_at):
+            if not isinstance(answer, ChangesTold):
+                continue
+            if answer.silence_seconds <= silence and self._take(answer, sent_at):
                 return True
         return False
 
     def _take(self, told: ChangesTold, sent_at: float) -> bool:
-        if told.is_lost or told.age_seconds > LARGEST_AGE_SECONDS:
+        if told.is_lost:
             return False
         events = tuple(
             key if is_removed else Stored(key, value, revision)
@@ -220,13 +243,15 @@
         self._apply(Changes(events, told.revision))
         if told.is_whole:
             # Delays on the way make the confirmation older, never younger.
-            self._confirm(sent_at - told.age_seconds)
+            self._confirm(sent_at - told.age_seconds, sent_at - told.silence_seconds)
         return True
 
     def _tell_changes(self, sender: str, asked: ChangesAsked) -> ChangesTold:
         now = self._clock.boottime()
-        age = min(9999.0, self.find_age(now))
-        return self._log.tell(asked.revision, age, self.upstreams.find_grace(now))
+        age = min(LONGEST_SECONDS, self.find_age(now))
+        silence = min(LONGEST_SECONDS, now - self._heard_at)
+        grace = self.upstreams.find_grace(now)
+        return self._log.tell(asked.revision, Standpoint(age, silence, grace))
 
     # What it means.
 
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -56,6 +56,8 @@
     :param revision: revision up to which the changes are told.
     :param age_seconds: time since the question to the store whose answer confirmed it.
     :param events: key, value, revision and whether the key was removed.
+    :param silence_seconds: time since an answer of the store, at which it had no other
+        changes.
     :param grace_seconds: for how long entries of upstreams that vanish are kept.
     :param is_lost: whether the teller does not know all changes since the asker's.
     :param is_whole: whether the teller told all that it knows.
@@ -63,6 +65,7 @@
 
     revision: int
     age_seconds: float
+    silence_seconds: float
     grace_seconds: float = 0.0
     events: tuple[tuple[str, bytes, int, bool], ...] = ()
     is_lost: bool = False
