--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -46,6 +46,11 @@
 RETRY_RATIO = 0.18
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
+# Span over which the rate of lending is seen, and how far it may grow in it.
+RATE_SECONDS = 1.0
+GROWTH_FACTOR = 1.25
+LEAST_RATE = 5.0
+LARGEST_RATE = 1024
 # Upstreams become free, proven or overdue without a message.
 RECHECK_SECONDS = 0.05
 # What makes a proof worth as much as an older one with a loan less. Behind an old proof
@@ -157,6 +162,8 @@
         self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
         self._queue: list[Waiting] = []
+        # When slots were lent, in seconds.
+        self._lent: deque[float] = deque(maxlen=LARGEST_RATE)
 
     @property
     def queued(self) -> int:
@@ -210,8 +217,19 @@
         usual = self._durations.usual
         rank = waiting.rank(usual, now)
         ahead = sum(item.rank(usual, now) <= rank for item in self._queue)
-        turns = ahead / max(1, self._count_slots(now))
-        return now + turns * self._durations.mean > waiting.until
+        return now + ahead / self._estimate_rate(now) > waiting.until
+
+    def _estimate_rate(self, now: float) -> float:
+        """Return how many slots a second are lent at the most.
+
+        Upstreams that shed or cannot be reached lend less than their slots promise, so
+        that what was lent in the last second bounds the rate, with some room to grow.
+        """
+        while self._lent and self._lent[0] <= now - RATE_SECONDS:
+            self._lent.popleft()
+        promised = max(1, self._count_slots(now)) / self._durations.mean
+        seen = len(self._lent) / RATE_SECONDS
+        return min(promised, GROWTH_FACTOR * seen + LEAST_RATE)
 
     def _count_slots(self, now: float) -> int:
         """Return the slots of the upstreams that are not suspended."""
@@ -324,6 +342,7 @@
             now, until, asked.fingerprint, asked.route, is_slow
         )
         chosen.lent_at = now
+        self._lent.append(now)
         return self._address(asked, chosen)
 
     def _address(self, asked: SlotAsked, standing: Standing) -> Addressed:
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -175,6 +175,20 @@
         assert {item.reason for item in refused} == {Reason.BUSY}
         assert fixture.desk.queued < 12
 
+    def test_upstreams_that_shed_do_not_promise_their_slots(self):
+        # Guards against requests that are held because idle slots look like capacity.
+        fixture = Fixture(count=8)
+        refused = 0
+        for number in range(1, 120):
+            now = number * 0.02
+            for standing in fixture.desk.standings.values():
+                standing.avoid_until = now + 1.0
+            decided = fixture.decide(ask(number), now)
+            refused += any(isinstance(item, SlotRefused) for item in decided)
+            fixture.desk.advance(now)
+        assert refused > 60
+        assert fixture.desk.queued < 10
+
     def test_a_question_that_may_not_wait_is_refused_at_once(self):
         fixture = Fixture(count=1)
         fixture.lend(ask(1), 0.0)
