Use the entry daemon's copy of end-to-end headers

Cause: the gateway had the list of hop-by-hop headers and their removal a second time. Change: it calls the existing function; an unused record is gone.

--- a/libraries/gateway/shallotspindle_gateway/headers.py
+++ b/libraries/gateway/shallotspindle_gateway/headers.py
@@ -7,37 +7,12 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from shallotspindle_core.identifiers import TeamName, UpstreamName
+from shallotspindle_entry.headers import copy_end_to_end
 from shallotspindle_gateway.records import HeaderNames
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 LARGEST_DEADLINE_MS = 3_600_000
 
 
-def copy_end_to_end(
-    headers: CIMultiDict[str] | CIMultiDictProxy[str], dropped: frozenset[str]
-) -> CIMultiDict[str]:
-    """Return the headers without those that end at this hop.
-
-    :param dropped: names in lower case that are left out as well.
-    """
-    named = headers.get("Connection", "").split(",")
-    ended = HOP_BY_HOP | dropped | {name.strip().lower() for name in named}
-    kept = ((k, v) for k, v in headers.items() if k.lower() not in ended)
-    return CIMultiDict(kept)
-
-
 def build_upstream_headers(
     headers: CIMultiDictProxy[str],
     names: HeaderNames,
@@ -49,8 +24,9 @@
 
     :param seconds: time that is left until the deadline.
     """
-    dropped = ("authorization", "content-length", "expect", names.team, names.target)
-    kept = copy_end_to_end(headers, frozenset(map(str.lower, dropped)))
+    kept = copy_end_to_end(headers)
+    for name in ("Authorization", "Content-Length", "Expect", names.team, names.target):
+        kept.popall(name, None)
     kept[names.deadline] = str(max(1, int(seconds * 1000)))
     kept[names.target] = upstream
     if team:
@@ -60,7 +36,9 @@
 
 def build_caller_headers(headers: CIMultiDict[str]) -> CIMultiDict[str]:
     """Return the headers of the answer to the caller."""
-    return copy_end_to_end(headers, frozenset({"content-length"}))
+    kept = copy_end_to_end(headers)
+    kept.popall("Content-Length", None)
+    return kept
 
 
 def read_key(headers: CIMultiDictProxy[str], scheme: str) -> str | None:
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -1,10 +1,9 @@
 """Records that the tasks of the gateway share."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from shallotspindle_bundles.records import Bundle
-from shallotspindle_core.identifiers import FailureDomain, ServiceName
+from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_keys.directory import Directory
 from shallotspindle_routing.routes import Table
 
@@ -27,10 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """The configuration in force with the indexes that requests need.
-
-    :param kinds: routes whose requests may run more than once, by name.
-    """
+    """The configuration in force with the indexes that requests need."""
 
     bundle: Bundle
     keys: Directory
@@ -45,6 +41,8 @@
 class HeaderNames:
     """Names of the header fields that the deployment uses.
 
+    :param signature: proof of the upstream that made an answer, passed on unchanged.
+    :param not_run: says that an upstream did not run the request.
     :param key_scheme: scheme of ``Authorization`` under which callers send keys.
     """
 
@@ -115,12 +113,3 @@
     readiness_path: str = "/ready"
     bounds: Bounds = Bounds()
     headers: HeaderNames = HeaderNames()
-
-
-@dataclass(frozen=True, slots=True)
-class Domains:
-    """Number of usable upstreams of services by failure domain."""
-
-    counts: Mapping[ServiceName, Mapping[FailureDomain, int]] = field(
-        default_factory=dict
-    )
