--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -196,6 +196,29 @@
         assert statuses.count(200) <= 3.0 * passed + 3.0 + 1.0
         assert statuses.count(429) > 0
 
+    async def test_a_holder_without_its_lease_gives_no_token(self, fleet, monkeypatch):
+        # Guards against two holders of one rate after a lease has ended.
+        monkeypatch.setattr(rights, "LEASE_SECONDS", 0.5)
+        daemon = await start(fleet, "whole")
+        assert (await fleet.send(daemon))[0] == 200
+        fleet.store.is_away = True
+        await asyncio.sleep(0.8)
+        status, headers, _ = await fleet.send(daemon)
+        assert status == 503
+        assert "Retry-After" in headers
+        fleet.store.is_away = False
+        await asyncio.sleep(0.5)
+        assert (await fleet.send(daemon))[0] in (200, 429)
+
+    async def test_a_lease_that_ended_at_the_store_gives_up_all_rights(self, fleet):
+        daemon = await start(fleet, "whole")
+        for lease in tuple(fleet.store.leases):
+            await fleet.store.end_lease(lease)
+        await fleet.await_true(
+            lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT
+        )
+        await fleet.await_true(lambda: len(daemon.follower.members) == 1)
+
 
 class TestLenders:
     async def test_a_silent_lender_is_passed_over(self, fleet, monkeypatch):
