--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -51,8 +51,6 @@
 GROWTH_FACTOR = 1.25
 LEAST_RATE = 5.0
 LARGEST_RATE = 1024
-# Upstreams become free, proven or overdue without a message.
-RECHECK_SECONDS = 0.05
 # What makes a proof worth as much as an older one with a loan less. Behind an old proof
 # one request at a time is sent: until it ends, the upstream may have turned gray.
 LOAN_SECONDS = 0.03
@@ -394,9 +392,3 @@
             if name not in asked.avoid and standing.has_room(asked.asker, now):
                 tiers[standing.rank(overdue, now)].append(standing)
         return tiers
-
-    def find_wakeup(self, now: float) -> float | None:
-        """Return when ``advance`` may decide something without a message."""
-        if not self._queue:
-            return None
-        return min(now + RECHECK_SECONDS, *(item.until for item in self._queue))
