Enforce the configured limits on callers and the deployment's retry budget

Change: one class of caller connections for both daemons, with a timer for header lines; headers are counted together, bodies in chunks and streams as well; idle time comes from the configuration. The budget for repeats takes ratio, slack and window of the deployment; the slack comes on top of the part instead of being a lower bound. The library of the store's interface is called environment, since its old name was that of the adapter's folder.

--- a/libraries/entry/shallotspindle_entry/bundle_following.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following.py
@@ -19,7 +19,7 @@
 from shallotspindle_entry import bundle_messages as messages
 from shallotspindle_entry.bundle_sources import PeerSource, Source, StoreSource
 from shallotspindle_entry.interfaces import PeerLink
-from shallotspindle_platform.interface import Conflict, Store
+from shallotspindle_environment.interface import Conflict, Store
 from shallotspindle_settings import manifest, withdrawal
 
 RETRY_SECONDS = 1.0
--- a/libraries/entry/shallotspindle_entry/bundle_sources.py
+++ b/libraries/entry/shallotspindle_entry/bundle_sources.py
@@ -9,7 +9,7 @@
 from shallotspindle_core.identifiers import Instance
 from shallotspindle_entry import bundle_messages as messages
 from shallotspindle_entry.interfaces import PeerLink, PeerUnreachable
-from shallotspindle_platform.interface import Store, StoreFailure
+from shallotspindle_environment.interface import Store, StoreFailure
 from shallotspindle_settings import manifest
 from shallotspindle_settings.deltas import DELTA_PREFIX
 
--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -26,9 +26,9 @@
 from shallotspindle_entry.bundle_sources import Source
 from shallotspindle_entry.interfaces import PeerLink
 from shallotspindle_entry.tasks import Task
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_environment.interface import Store
 from shallotspindle_keys import directory
-from shallotspindle_platform.clock import SystemClock
-from shallotspindle_platform.interface import Store
 from shallotspindle_settings import chunks
 
 EMPTY = bundle_loading.EMPTY
--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -19,8 +19,8 @@
 from shallotspindle_entry import bundle_messages as messages
 from shallotspindle_entry.configuration import ConfigurationTask, StoreChanged
 from shallotspindle_entry.interfaces import PeerUnreachable
+from shallotspindle_environment.memory import MemoryStore
 from shallotspindle_keys import digests, directory
-from shallotspindle_platform.memory import MemoryStore
 from shallotspindle_settings import chunks, manifest, withdrawal
 
 KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -24,8 +24,8 @@
 from shallotspindle_entry.gate import Gate
 from shallotspindle_entry.lifecycle import Lifecycle
 from shallotspindle_entry.pipeline import Pipeline
+from shallotspindle_environment.clock import SystemClock
 from shallotspindle_keys import digests
-from shallotspindle_platform.clock import SystemClock
 from shallotspindle_telemetry.metrics import RequestMetrics
 
 SALT = b"0123456789abcdef"
--- a/libraries/entry/shallotspindle_entry/coordination.py
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -26,14 +26,14 @@
 from shallotspindle_entry.configuration import ConfigurationTask
 from shallotspindle_entry.ownership import OwnershipTask
 from shallotspindle_entry.peers import Peers
+from shallotspindle_environment.etcd import EtcdStore
+from shallotspindle_environment.listing import HttpInstanceList
 from shallotspindle_health import messages as health_messages
 from shallotspindle_idempotency import messages as claim_messages
 from shallotspindle_limits import records as limit_records
 from shallotspindle_limits.records import Limit
 from shallotspindle_membership.heartbeats import Progress
 from shallotspindle_ownership import messages as ownership_messages
-from shallotspindle_platform.etcd import EtcdStore
-from shallotspindle_platform.listing import HttpInstanceList
 from shallotspindle_settings.daemon import EntrySettings
 
 MESSAGE_TYPES = (
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -26,8 +26,8 @@
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import Pipeline
 from shallotspindle_entry.withdrawal_endpoint import take_withdrawal
+from shallotspindle_environment.clock import SystemClock
 from shallotspindle_health.detection import Description, State
-from shallotspindle_platform.clock import SystemClock
 from shallotspindle_settings.daemon import Address, EntrySettings
 from shallotspindle_telemetry.metrics import RequestMetrics
 
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -6,11 +6,11 @@
 import uuid
 from typing import Any
 
-from absl import logging
-from aiohttp import web, web_protocol
+from aiohttp import web
 from aiomisc import Service
 
 from shallotspindle_entry import problems
+from shallotspindle_entry.callers import SLOW_ANSWER, CallerConnection
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import CALL, PROBLEM, Pipeline
 from shallotspindle_telemetry.metrics import RequestMetrics
@@ -21,34 +21,12 @@
 LINGERING_SECONDS = 2.0
 READ_BUFFER_BYTES = 64 * 1024
 HEADER_LINE_BYTES = 8190
-SLOW_ANSWER = (
-    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
 
 
-class CallerProtocol(web_protocol.RequestHandler):
-    """Connection of a caller that answers malformed requests as problems."""
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answer a request that no handler served.
-
-        The parser's message is neither sent nor logged, since it quotes headers.
-        """
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has already begun")
-        malformed = 400 <= status < 500
-        if not malformed:
-            logging.error("a request failed: %r", exc)
-        problem = problems.MALFORMED if malformed else problems.INTERNAL
-        response = problems.build_response(problem, uuid.uuid4().hex)
-        response.force_close()
-        return response
+def build_problem(is_malformed: bool) -> web.Response:
+    """Return the answer to a request that no handler served."""
+    problem = problems.MALFORMED if is_malformed else problems.INTERNAL
+    return problems.build_response(problem, uuid.uuid4().hex)
 
 
 class Frontend(Service):
@@ -95,8 +73,10 @@
 
     def _accept(self) -> asyncio.Protocol:
         loop = asyncio.get_running_loop()
-        protocol = CallerProtocol(
+        protocol = CallerConnection(
             self._runner.server,
+            header_seconds=FIRST_REQUEST_SECONDS,
+            build_problem=build_problem,
             loop=loop,
             access_log=None,
             keepalive_timeout=KEEPALIVE_SECONDS,
--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -21,6 +21,12 @@
 from shallotspindle_entry.sessions import SessionWriter
 from shallotspindle_entry.table_sharing import TableSharing
 from shallotspindle_entry.tasks import Task
+from shallotspindle_environment.interface import (
+    Conflict,
+    InstanceList,
+    OutcomeUnknown,
+    Store,
+)
 from shallotspindle_ownership import holdings, sessions
 from shallotspindle_ownership import table as tables
 from shallotspindle_ownership.holdings import Effect, Gained, Holdings
@@ -36,12 +42,6 @@
 )
 from shallotspindle_ownership.sessions import Phase
 from shallotspindle_ownership.table import Entry, Table, Write
-from shallotspindle_platform.interface import (
-    Conflict,
-    InstanceList,
-    OutcomeUnknown,
-    Store,
-)
 
 RETRY_SECONDS = 10.0
 # A new instance looks again this often until its session is stored.
--- a/libraries/entry/shallotspindle_entry/ownership_test.py
+++ b/libraries/entry/shallotspindle_entry/ownership_test.py
@@ -12,15 +12,15 @@
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry.interfaces import PeerUnreachable
 from shallotspindle_entry.ownership import OwnershipTask, PeerMessage
-from shallotspindle_ownership.messages import HandOver
-from shallotspindle_ownership.sessions import HORIZON_SECONDS, QUIET_SECONDS
-from shallotspindle_platform.interface import (
+from shallotspindle_environment.interface import (
     Conflict,
     Entry,
     ListedInstance,
     OutcomeUnknown,
     StoreFailure,
 )
+from shallotspindle_ownership.messages import HandOver
+from shallotspindle_ownership.sessions import HORIZON_SECONDS, QUIET_SECONDS
 
 
 class MemoryStore:
--- a/libraries/entry/shallotspindle_entry/peers.py
+++ b/libraries/entry/shallotspindle_entry/peers.py
@@ -36,11 +36,11 @@
     Unanswered,
 )
 from shallotspindle_entry.tasks import Task
+from shallotspindle_environment.interface import InstanceList
 from shallotspindle_membership import spreading
 from shallotspindle_membership.freshness import Horizon
 from shallotspindle_membership.heartbeats import Heartbeat
 from shallotspindle_membership.views import View
-from shallotspindle_platform.interface import InstanceList
 from shallotspindle_wire import envelopes, frames
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.envelopes import Ask, Push, Reply, Tell
--- a/libraries/entry/shallotspindle_entry/peers_test.py
+++ b/libraries/entry/shallotspindle_entry/peers_test.py
@@ -13,9 +13,9 @@
 from shallotspindle_entry.peer_links import IDLE_SECONDS
 from shallotspindle_entry.peer_messages import BeatDue, Received
 from shallotspindle_entry.peers import Peers
+from shallotspindle_environment.interface import ListedInstance
 from shallotspindle_membership import heartbeats, neighbours
 from shallotspindle_membership.heartbeats import Heartbeat, Progress
-from shallotspindle_platform.interface import ListedInstance
 from shallotspindle_wire import frames
 from shallotspindle_wire.codec import Codec
 
--- a/libraries/entry/shallotspindle_entry/review.py
+++ b/libraries/entry/shallotspindle_entry/review.py
@@ -11,12 +11,12 @@
 from shallotspindle_core.identifiers import Incarnation
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry import transfers
+from shallotspindle_environment.interface import InstanceList
 from shallotspindle_ownership import holdings, placement, proofs, sessions
 from shallotspindle_ownership import table as tables
 from shallotspindle_ownership.proofs import Observation
 from shallotspindle_ownership.sessions import Phase
 from shallotspindle_ownership.table import Entry, Table, Write
-from shallotspindle_platform.interface import InstanceList
 
 if TYPE_CHECKING:
     from shallotspindle_entry.ownership import OwnershipTask
--- a/libraries/entry/shallotspindle_entry/sessions.py
+++ b/libraries/entry/shallotspindle_entry/sessions.py
@@ -7,8 +7,8 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import Instance
 from shallotspindle_entry import ownership_records as records
+from shallotspindle_environment.interface import Conflict, OutcomeUnknown, Store
 from shallotspindle_ownership.sessions import RECORD_LEASE_SECONDS, Session
-from shallotspindle_platform.interface import Conflict, OutcomeUnknown, Store
 
 LEASE_RENEWAL_SECONDS = 3600.0
 
--- a/libraries/platform/shallotspindle_platform/etcd.py
+++ b/libraries/environment/shallotspindle_environment/etcd.py
@@ -12,7 +12,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
-from shallotspindle_platform.interface import (
+from shallotspindle_environment.interface import (
     VALUE_LIMIT_BYTES,
     Conflict,
     Entry,
--- a/libraries/platform/shallotspindle_platform/etcd_test.py
+++ b/libraries/environment/shallotspindle_environment/etcd_test.py
@@ -2,9 +2,9 @@
 import pytest
 from aiohttp import web
 
-from shallotspindle_platform.etcd import EtcdStore
-from shallotspindle_platform.interface import OutcomeUnknown, StoreBusy, StoreFailure
-from shallotspindle_platform.listing import HttpInstanceList
+from shallotspindle_environment.etcd import EtcdStore
+from shallotspindle_environment.interface import OutcomeUnknown, StoreBusy, StoreFailure
+from shallotspindle_environment.listing import HttpInstanceList
 
 
 @pytest.fixture
--- a/libraries/platform/shallotspindle_platform/listing.py
+++ b/libraries/environment/shallotspindle_environment/listing.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from shallotspindle_core.identifiers import FailureDomain, Incarnation, Instance
-from shallotspindle_platform.interface import ListedInstance, StoreFailure
+from shallotspindle_environment.interface import ListedInstance, StoreFailure
 
 CALL_TIMEOUT_SECONDS = 2.0
 
--- a/libraries/platform/shallotspindle_platform/memory.py
+++ b/libraries/environment/shallotspindle_environment/memory.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok, Result
 
-from shallotspindle_platform.interface import (
+from shallotspindle_environment.interface import (
     Conflict,
     Entry,
     OutcomeUnknown,
--- a/libraries/gateway/shallotspindle_gateway/bodies.py
+++ b/libraries/gateway/shallotspindle_gateway/bodies.py
@@ -8,23 +8,39 @@
 import hashlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from enum import Enum
 
 from aiohttp import web
 
+from shallotspindle_core.failures import Failure, FailureError
+
 KEPT_BYTES = 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 IDLE_SECONDS = 5.0
 
 
+class BodyFault(Enum):
+    """Why a body is not taken; nothing was sent to an upstream."""
+
+    SLOW = "slow"
+    TOO_LARGE = "too-large"
+
+
+class BodyTooLong(Failure):
+    """A streamed body grew beyond the limit; the send to the upstream is broken off."""
+
+
 @dataclass(slots=True)
 class Body:
     """A body whose start was read.
 
     :param rest: the stream that holds what was not read; None if all was.
+    :param largest: limit on the whole body, in bytes.
     """
 
     start: bytes
     rest: asyncio.StreamReader | None
+    largest: int = 0
 
     @property
     def exists(self) -> bool:
@@ -47,24 +63,36 @@
 
     async def _iterate(self) -> AsyncIterator[bytes]:
         yield self.start
+        size = len(self.start)
         while chunk := await self.rest.read(CHUNK_BYTES):
+            size += len(chunk)
+            if size > self.largest:
+                raise FailureError(BodyTooLong("body", "is longer than the limit"))
             yield chunk
 
 
-async def read_body(request: web.BaseRequest) -> Body:
+async def read_body(request: web.BaseRequest, largest: int) -> Body | BodyFault:
     """Read the start of a body.
 
-    :raises TimeoutError: if the caller sends nothing for ``IDLE_SECONDS``.
+    :param largest: limit on the whole body, in bytes.
+    :returns: a fault if the caller sends nothing for ``IDLE_SECONDS`` or too much.
     """
+    if (request.content_length or 0) > largest:
+        return BodyFault.TOO_LARGE
     if not request.body_exists:
         return Body(b"", None)
     parts = []
     size = 0
     while size <= KEPT_BYTES:
-        async with asyncio.timeout(IDLE_SECONDS):
-            chunk = await request.content.read(CHUNK_BYTES)
+        try:
+            async with asyncio.timeout(IDLE_SECONDS):
+                chunk = await request.content.read(CHUNK_BYTES)
+        except TimeoutError:
+            return BodyFault.SLOW
         if not chunk:
             return Body(b"".join(parts), None)
         parts.append(chunk)
         size += len(chunk)
-    return Body(b"".join(parts), request.content)
+        if size > largest:
+            return BodyFault.TOO_LARGE
+    return Body(b"".join(parts), request.content, largest)
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -18,9 +18,12 @@
     TeamName,
     UpstreamName,
 )
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_environment.interface import Conflict, StoreFailure
 from shallotspindle_gateway.daemon import Daemon
 from shallotspindle_gateway.records import (
     Bounds,
+    CallerLimits,
     Deployment,
     Endpoint,
     HeaderNames,
@@ -35,8 +38,6 @@
 )
 from shallotspindle_keys import digests
 from shallotspindle_keys.directory import build_directory
-from shallotspindle_platform.clock import SystemClock
-from shallotspindle_platform.interface import Conflict, StoreFailure
 from shallotspindle_registry.records import Announcement, State
 from shallotspindle_routing.routes import build_table
 
@@ -154,9 +155,10 @@
                 idempotent_methods=frozenset(),
             ),
         )
+        limits = CallerLimits(**found.get("limits", {}))
         bundle = Bundle(found["version"], SALT, {team.name: team}, routes=routes)
         keys = build_directory(SALT, [(team.name, team.key_digests)])
-        return Ok(Deployment(bundle, keys, build_table(routes)))
+        return Ok(Deployment(bundle, keys, build_table(routes), limits))
 
     def decode_announcement(self, key, data):
         address, domain = json.loads(data)
@@ -222,8 +224,9 @@
         self._servers: list = []
         self._numbers = itertools.count()
 
-    def configure(self, version=1, keys=("k1",), rate=1000.0) -> None:
+    def configure(self, version=1, keys=("k1",), rate=1000.0, limits=None) -> None:
         document = {"version": version, "keys": list(keys), "rate": rate}
+        document["limits"] = limits or {}
         self.store.put("configuration", json.dumps(document).encode())
 
     async def add_upstream(self, mode: str = "whole", domain: str = "a") -> Upstream:
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -3,10 +3,10 @@
 import pytest
 from expression import Error
 
+from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import following, lending, rights
 from shallotspindle_gateway.conftest import NAMES, MemoryStore
 from shallotspindle_gateway.records import Bounds
-from shallotspindle_platform.interface import StoreFailure
 
 
 class AwayStore(MemoryStore):
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -19,6 +19,7 @@
 from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain
+from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway.changelog import ChangeLog, Standpoint
 from shallotspindle_gateway.messages import ChangesAsked, ChangesTold
 from shallotspindle_gateway.peers import Peers
@@ -31,7 +32,6 @@
     Store,
     Stored,
 )
-from shallotspindle_platform.interface import StoreFailure
 from shallotspindle_registry.directory import GRACE_SECONDS, Directory
 
 MEMBER_PREFIX = "members/"
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from absl import logging
-from aiohttp import web, web_protocol
+from aiohttp import web
 from aiomisc import Service
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_entry.callers import CallerConnection
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_gateway import headers, refusals
 from shallotspindle_gateway.forwarding import Answer
@@ -18,30 +18,17 @@
 from shallotspindle_gateway.refusals import Refusal
 from shallotspindle_gateway.reporting import Reporter
 
-HEADER_BYTES = 16_384
-KEEPALIVE_SECONDS = 30.0
+# Callers reuse connections until shortly before the idle limit; a close at the limit
+# itself could cross their next request.
+IDLE_SLACK_SECONDS = 1.0
+LINGERING_SECONDS = 2.0
 BACKLOG = 1024
 
 
-class CallerProtocol(web_protocol.RequestHandler):
-    """Connection of a caller that answers malformed requests as problems."""
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has already begun")
-        malformed = 400 <= status < 500
-        if not malformed:
-            logging.error("a request failed: %r", exc)
-        refusal = refusals.MALFORMED if malformed else refusals.INTERNAL
-        response = refusals.build_response(refusal, {})
-        response.force_close()
-        return response
+def build_problem(is_malformed: bool) -> web.Response:
+    """Return the answer to a request that no handler served."""
+    refusal = refusals.MALFORMED if is_malformed else refusals.INTERNAL
+    return refusals.build_response(refusal, {})
 
 
 class Frontend(Service):
@@ -76,14 +63,17 @@
         )
 
     def _accept(self) -> asyncio.Protocol:
-        return CallerProtocol(
+        limits = self._reporter.follower.deployment.caller_limits
+        return CallerConnection(
             self._web,
+            header_seconds=limits.header_seconds,
+            build_problem=build_problem,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            lingering_time=2.0,
-            max_line_size=HEADER_BYTES,
-            max_field_size=HEADER_BYTES,
+            keepalive_timeout=limits.idle_seconds + IDLE_SLACK_SECONDS,
+            lingering_time=LINGERING_SECONDS,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
             auto_decompress=False,
         )
 
@@ -94,14 +84,9 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is in work."""
         for connection in self._web.connections:
-            if not self._is_busy(connection):
+            if connection.is_idle:
                 connection.force_close()
 
-    @staticmethod
-    def _is_busy(connection: web_protocol.RequestHandler) -> bool:
-        waiting = connection._waiter is not None and not connection._messages
-        return not waiting
-
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
         await self._web.shutdown(0.1)
--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/frontend_test.py
@@ -0,0 +1,110 @@
+import asyncio
+
+import pytest
+
+from shallotspindle_gateway import bodies
+from shallotspindle_gateway.conftest import NAMES
+
+LIMITS = {
+    "header_bytes": 2000,
+    "body_bytes": 100_000,
+    "header_seconds": 0.3,
+    "idle_seconds": 0.3,
+}
+
+
+async def start(fleet, **limits):
+    fleet.configure(version=2, limits=LIMITS | limits)
+    await fleet.add_upstream()
+    return await fleet.add_gateway()
+
+
+async def connect(daemon):
+    return await asyncio.open_connection("127.0.0.1", daemon.callers_port)
+
+
+async def read_all(reader) -> bytes:
+    async with asyncio.timeout(5):
+        return await reader.read()
+
+
+async def send_chunks(size):
+    for _ in range(size // 10_000):
+        yield b"x" * 10_000
+
+
+class TestHeaders:
+    async def test_a_caller_that_does_not_finish_its_headers_gets_408(self, fleet):
+        # Guards against callers that hold connections with half a request.
+        daemon = await start(fleet, idle_seconds=30.0)
+        reader, writer = await connect(daemon)
+        writer.write(b"GET /reads/1 HTTP/1.1\r\nHost: a")
+        assert (await read_all(reader)).startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    async def test_a_request_in_pieces_within_the_time_is_served(self, fleet):
+        # Guards against a timer that goes on after the headers are in.
+        daemon = await start(fleet, idle_seconds=30.0)
+        reader, writer = await connect(daemon)
+        writer.write(b"GET /reads/1 HTTP/1.1\r\nHost: a\r\n")
+        await asyncio.sleep(0.05)
+        fields = f"{NAMES.request_id}: r1\r\nAuthorization: {NAMES.key_scheme} k1"
+        writer.write(f"{fields}\r\n\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        await asyncio.sleep(0.5)
+        assert not reader.at_eof()
+        writer.close()
+
+    async def test_headers_beyond_the_limit_are_refused(self, fleet):
+        # Guards against a limit that holds for each line and not for all together.
+        daemon = await start(fleet)
+        reader, writer = await connect(daemon)
+        lines = "".join(f"X-{number}: {'x' * 1000}\r\n" for number in range(3))
+        writer.write(f"GET /reads/1 HTTP/1.1\r\nHost: a\r\n{lines}\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 431 ")
+        writer.close()
+
+
+class TestIdle:
+    async def test_an_idle_connection_is_closed_after_the_limit(self, fleet):
+        # Guards against a fixed time that ignores the configuration.
+        daemon = await start(fleet)
+        reader, writer = await connect(daemon)
+        assert await read_all(reader) == b""
+        writer.close()
+
+
+class TestBodies:
+    async def test_a_body_in_chunks_beyond_the_limit_is_refused(self, fleet):
+        # Guards against a limit that only a stated length meets.
+        daemon = await start(fleet)
+        status, _, _ = await fleet.send(
+            daemon, "/orders/1", method="POST", body=send_chunks(200_000)
+        )
+        assert status == 413
+        assert not fleet.upstreams["u0"].runs
+
+    async def test_a_body_in_chunks_within_the_limit_is_passed_on(self, fleet):
+        daemon = await start(fleet)
+        status, _, body = await fleet.send(
+            daemon, "/orders/1", method="POST", body=send_chunks(90_000)
+        )
+        assert (status, len(body)) == (200, 90_007)
+
+    async def test_a_streamed_body_beyond_the_limit_ends_its_send(
+        self, fleet, monkeypatch
+    ):
+        # Guards against a limit that holds only for bodies that are kept.
+        monkeypatch.setattr(bodies, "KEPT_BYTES", 20_000)
+        daemon = await start(fleet)
+        status, _, _ = await fleet.send(
+            daemon, "/orders/1", method="POST", body=send_chunks(200_000)
+        )
+        assert status == 502
+
+
+@pytest.fixture(autouse=True)
+def quick_rights(monkeypatch):
+    monkeypatch.setattr("shallotspindle_gateway.rights.SETTLING_SECONDS", 0.0)
--- a/libraries/gateway/shallotspindle_gateway/headers.py
+++ b/libraries/gateway/shallotspindle_gateway/headers.py
@@ -4,6 +4,7 @@
 here whatever the caller sent. Hop-by-hop headers end here.
 """
 
+from aiohttp import web
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from shallotspindle_core.identifiers import TeamName, UpstreamName
@@ -41,6 +42,11 @@
     return kept
 
 
+def count_bytes(request: web.BaseRequest) -> int:
+    """Return the size of the request's header lines, with their separators."""
+    return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+
+
 def read_key(headers: CIMultiDictProxy[str], scheme: str) -> str | None:
     """Return the caller's key, or None."""
     found, _, key = headers.get("Authorization", "").partition(" ")
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -35,7 +35,11 @@
     SlotReturned,
 )
 from shallotspindle_lending.standing import FAILURES
+from shallotspindle_retries.budget import Budget
 
+# Part of the fleet's budget for repeats that lenders grant. The rest covers a second
+# lender after a change of members, and windows that cut the lenders' windows.
+BUDGET_PART = 0.9
 ANSWER_SECONDS = 0.1
 # A lender that did not answer is asked last for this time.
 SILENT_SECONDS = 2.0
@@ -148,14 +152,24 @@
     def _find_desk(self, service: ServiceName) -> Desk:
         desk = self._desks.get(service)
         if desk is None:
-            domains = max(1, len(self._follower.upstreams.list_domains(service)))
-            retries = int(self._bounds.retry_slack / 2 / domains)
-            desk = Desk(service, self._crashes, self._random, retries)
+            desk = Desk(
+                service, self._crashes, self._random, self._build_budget(service)
+            )
             usable = self._follower.upstreams.list_usable(service, self._own.domain)
             desk.update(usable)
             self._desks[service] = desk
         return desk
 
+    def _build_budget(self, service: ServiceName) -> Budget:
+        """Return this domain's part of the fleet's budget for repeats."""
+        domains = max(1, len(self._follower.upstreams.list_domains(service)))
+        return Budget(
+            BUDGET_PART * self._bounds.retry_ratio,
+            least=0,
+            slack=int(BUDGET_PART * self._bounds.retry_slack / 2 / domains),
+            window=self._bounds.retry_window_seconds,
+        )
+
     def _answer_ask(self, sender: str, asked: SlotAsked) -> Any:
         decided = self._find_desk(asked.service).ask(asked, self._clock.boottime())
         answer: Any = SlotQueued(asked.number)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -17,7 +17,7 @@
 from shallotspindle_entry import checks
 from shallotspindle_gateway import bodies, headers, refusals
 from shallotspindle_gateway.admission import Admission
-from shallotspindle_gateway.bodies import Body
+from shallotspindle_gateway.bodies import Body, BodyFault
 from shallotspindle_gateway.execution import Executor, Failed, Sent
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.forwarding import Answer, Order
@@ -37,6 +37,10 @@
 WAY_SECONDS = 0.03
 HEAVY_BYTES = 16 * 1024
 NO_TEAM = TeamName("")
+BODY_REFUSALS = {
+    BodyFault.SLOW: refusals.SLOW_CALLER,
+    BodyFault.TOO_LARGE: refusals.BODY_TOO_LARGE,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,10 +124,10 @@
         call = self._check(request, trace, arrived)
         if isinstance(call, Refusal):
             return call
-        try:
-            body = await bodies.read_body(request)
-        except TimeoutError:
-            return refusals.SLOW_CALLER
+        largest = self._follower.deployment.caller_limits.body_bytes
+        body = await bodies.read_body(request, largest)
+        if isinstance(body, BodyFault):
+            return BODY_REFUSALS[body]
         refused = await self._acquire(call)
         if refused is not None:
             return refused
@@ -144,6 +148,8 @@
             return refusals.NOT_READY
         if checks.find_problem(request) is not None:
             return refusals.MALFORMED
+        if headers.count_bytes(request) > deployment.caller_limits.header_bytes:
+            return refusals.HEADERS_TOO_LARGE
         path = request.raw_path.partition("?")[0]
         host = request.host.partition(":")[0]
         route = find_route(deployment, host, path)
@@ -154,9 +160,6 @@
         if isinstance(team, Refusal):
             return team
         trace.team = team.name if team else ""
-        length = request.content_length
-        if length is not None and length > deployment.caller_limits.body_bytes:
-            return refusals.BODY_TOO_LARGE
         given = headers.read_deadline(request.headers, self._names) or DEFAULT_SECONDS
         until = now + min(given - WAY_SECONDS, route.timeout)
         service = choose_service(route, self._random)
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -82,6 +82,7 @@
     :param stop_seconds: time from the request to stop to the forced end.
     :param retry_ratio: part of a service's requests that may be sent once more.
     :param retry_slack: repeats in a window that are allowed beside that part.
+    :param retry_window_seconds: length of the windows in which repeats count.
     :param rate_window_seconds: length of the windows in which teams' rates count; None
         for windows of every length.
     """
@@ -90,6 +91,7 @@
     stop_seconds: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: int = 50
+    retry_window_seconds: float = 10.0
     rate_window_seconds: float | None = None
 
 
--- a/libraries/gateway/shallotspindle_gateway/storage.py
+++ b/libraries/gateway/shallotspindle_gateway/storage.py
@@ -10,8 +10,8 @@
 from expression import Result
 
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway.records import Deployment
-from shallotspindle_platform.interface import StoreFailure
 from shallotspindle_registry.records import Announcement
 
 
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -43,7 +43,6 @@
 REPORT_SLACK_SECONDS = 0.5
 # Requests that may run twice look for unproven upstreams at least this often.
 EXPLORED_PART = 0.3
-RETRY_RATIO = 0.18
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 # Span over which the rate of lending is seen, and how far it may grow in it.
@@ -142,7 +141,7 @@
     """Slots of the upstreams of one service in one failure domain.
 
     :param crashes: requests that crash upstreams, shared by all desks.
-    :param retries: retries in a window that are always granted.
+    :param budget: bounds how often requests are sent to a second upstream.
     """
 
     def __init__(
@@ -150,12 +149,12 @@
         service: ServiceName,
         crashes: Crashes,
         random: RandomSource,
-        retries: int,
+        budget: Budget,
     ) -> None:
         self._service = service
         self._crashes = crashes
         self._random = random
-        self._budget = Budget(RETRY_RATIO, retries)
+        self._budget = budget
         self._durations = Durations()
         self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -16,6 +16,7 @@
 from shallotspindle_lending.standing import Tier
 from shallotspindle_registry.directory import Known
 from shallotspindle_registry.records import Announcement, State
+from shallotspindle_retries.budget import Budget
 
 SERVICE = ServiceName("catalogue")
 
@@ -55,7 +56,7 @@
 class Fixture:
     def __init__(self, count: int = 3, retries: int = 3) -> None:
         self.crashes = Crashes()
-        self.desk = Desk(SERVICE, self.crashes, Alternating(), retries)
+        self.desk = Desk(SERVICE, self.crashes, Alternating(), Budget(0.18, retries))
         self.known = {UpstreamName(f"u{n}"): announce(f"u{n}") for n in range(count)}
         self.desk.update(self.known)
 
--- a/libraries/operations/shallotspindle_operations/audit_commands.py
+++ b/libraries/operations/shallotspindle_operations/audit_commands.py
@@ -4,9 +4,9 @@
 
 from shallotspindle_audit import records
 from shallotspindle_audit.records import Record
+from shallotspindle_environment.interface import Store
 from shallotspindle_operations import auditing, options, outcomes
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.interface import Store
 from shallotspindle_settings import audit
 
 app = App(name="audit", help="Read and verify the audit trail.")
--- a/libraries/operations/shallotspindle_operations/auditing.py
+++ b/libraries/operations/shallotspindle_operations/auditing.py
@@ -12,8 +12,8 @@
 from shallotspindle_audit import records
 from shallotspindle_audit.records import Change, Record, TrailFailure
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import Conflict, OutcomeUnknown, Store
 from shallotspindle_operations import publishing
-from shallotspindle_platform.interface import Conflict, OutcomeUnknown, Store
 from shallotspindle_settings import audit
 
 # Writers that are overtaken this often in a row give up.
--- a/libraries/operations/shallotspindle_operations/auditing_test.py
+++ b/libraries/operations/shallotspindle_operations/auditing_test.py
@@ -2,8 +2,8 @@
 from dataclasses import replace
 
 from shallotspindle_audit.records import Change
+from shallotspindle_environment.memory import MemoryStore
 from shallotspindle_operations import auditing
-from shallotspindle_platform.memory import MemoryStore
 from shallotspindle_settings import audit
 
 
--- a/libraries/operations/shallotspindle_operations/bundle_commands.py
+++ b/libraries/operations/shallotspindle_operations/bundle_commands.py
@@ -10,12 +10,12 @@
 
 from shallotspindle_bundles import differences
 from shallotspindle_bundles.records import Bundle
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_environment.interface import Store
 from shallotspindle_operations import changing, options, outcomes, publishing, rendering
 from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
 from shallotspindle_operations.publishing import Accepted, Proposal
-from shallotspindle_platform.clock import SystemClock
-from shallotspindle_platform.interface import Store
 from shallotspindle_settings import bundle as bundle_form
 from shallotspindle_settings import manifest as manifest_form
 from shallotspindle_settings.failures import SettingsFailure
--- a/libraries/operations/shallotspindle_operations/changing.py
+++ b/libraries/operations/shallotspindle_operations/changing.py
@@ -20,11 +20,11 @@
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import Store
 from shallotspindle_operations import auditing, publishing, rendering
 from shallotspindle_operations.auditing import AuditFailure
 from shallotspindle_operations.publishing import Accepted, Proposal
 from shallotspindle_operations.rendering import DIGEST_DIGITS
-from shallotspindle_platform.interface import Store
 from shallotspindle_settings import withdrawal
 
 DETAILS_MAX = 200
--- a/libraries/operations/shallotspindle_operations/fleet_commands.py
+++ b/libraries/operations/shallotspindle_operations/fleet_commands.py
@@ -6,6 +6,7 @@
 from expression import Result
 
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import Store
 from shallotspindle_operations import (
     changing,
     editing,
@@ -16,7 +17,6 @@
 )
 from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.interface import Store
 
 Answers = list[tuple[str, Result]]
 
--- a/libraries/operations/shallotspindle_operations/instances.py
+++ b/libraries/operations/shallotspindle_operations/instances.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel, ValidationError
 
 from shallotspindle_core.failures import Failure
-from shallotspindle_platform.interface import OutcomeUnknown
+from shallotspindle_environment.interface import OutcomeUnknown
 
 CALL_TIMEOUT_SECONDS = 2.0
 
--- a/libraries/operations/shallotspindle_operations/key_commands.py
+++ b/libraries/operations/shallotspindle_operations/key_commands.py
@@ -10,6 +10,7 @@
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import OutcomeUnknown, Store
 from shallotspindle_keys import digests
 from shallotspindle_operations import (
     changing,
@@ -21,7 +22,6 @@
 from shallotspindle_operations.auditing import AuditFailure
 from shallotspindle_operations.changing import Failures, Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.interface import OutcomeUnknown, Store
 from shallotspindle_settings import bundle as bundle_form
 from shallotspindle_settings.failures import SettingsFailure
 from shallotspindle_settings.withdrawal import format_withdrawal
--- a/libraries/operations/shallotspindle_operations/main_test.py
+++ b/libraries/operations/shallotspindle_operations/main_test.py
@@ -6,10 +6,10 @@
 
 from shallotspindle_bundles import withdrawals
 from shallotspindle_bundles.withdrawals import Withdrawal
+from shallotspindle_environment.interface import StoreFailure
+from shallotspindle_environment.memory import MemoryStore
 from shallotspindle_operations import options
 from shallotspindle_operations.main import app
-from shallotspindle_platform.interface import StoreFailure
-from shallotspindle_platform.memory import MemoryStore
 from shallotspindle_settings import withdrawal
 
 COMMANDS = (
--- a/libraries/operations/shallotspindle_operations/options.py
+++ b/libraries/operations/shallotspindle_operations/options.py
@@ -15,12 +15,12 @@
 from expression import Error, Ok, Result
 
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_environment.etcd import EtcdStore
+from shallotspindle_environment.interface import Store
 from shallotspindle_operations import outcomes
 from shallotspindle_operations.changing import Operator
 from shallotspindle_operations.outcomes import Exit, Outcome
-from shallotspindle_platform.clock import SystemClock
-from shallotspindle_platform.etcd import EtcdStore
-from shallotspindle_platform.interface import Store
 from shallotspindle_settings import daemon
 from shallotspindle_settings.failures import SettingsFailure
 
--- a/libraries/operations/shallotspindle_operations/outcomes.py
+++ b/libraries/operations/shallotspindle_operations/outcomes.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 from shallotspindle_core.failures import Failure
+from shallotspindle_environment.interface import Conflict, OutcomeUnknown
 from shallotspindle_operations.changing import Done, InvalidChange
 from shallotspindle_operations.publishing import (
     InvalidManifest,
     RevivedKey,
     VersionConflict,
 )
-from shallotspindle_platform.interface import Conflict, OutcomeUnknown
 
 
 class Exit(IntEnum):
--- a/libraries/operations/shallotspindle_operations/publishing.py
+++ b/libraries/operations/shallotspindle_operations/publishing.py
@@ -15,7 +15,7 @@
 from shallotspindle_bundles.manifests import Manifest
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.failures import Failure
-from shallotspindle_platform.interface import (
+from shallotspindle_environment.interface import (
     Conflict,
     OutcomeUnknown,
     Store,
--- a/libraries/operations/shallotspindle_operations/publishing_test.py
+++ b/libraries/operations/shallotspindle_operations/publishing_test.py
@@ -4,10 +4,10 @@
 
 from shallotspindle_bundles import teams
 from shallotspindle_bundles.records import Bundle, Team
+from shallotspindle_environment.interface import OutcomeUnknown
+from shallotspindle_environment.memory import MemoryStore
 from shallotspindle_operations import publishing
 from shallotspindle_operations.publishing import VersionConflict
-from shallotspindle_platform.interface import OutcomeUnknown
-from shallotspindle_platform.memory import MemoryStore
 from shallotspindle_settings import manifest
 
 KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
--- a/libraries/retries/shallotspindle_retries/budget.py
+++ b/libraries/retries/shallotspindle_retries/budget.py
@@ -10,15 +10,25 @@
 
 
 class Budget:
-    """Retries in a sliding window, in buckets of a second.
+    """Retries in a sliding window of ``BUCKETS`` buckets.
 
     :param ratio: retries as a part of the requests in the window.
     :param least: retries in a window that are always granted.
+    :param slack: retries in a window beside that part.
+    :param window: length of the window, in seconds.
     """
 
-    def __init__(self, ratio: float = RATIO, least: int = LEAST_RETRIES) -> None:
+    def __init__(
+        self,
+        ratio: float = RATIO,
+        least: int = LEAST_RETRIES,
+        slack: int = 0,
+        window: float = WINDOW_SECONDS,
+    ) -> None:
         self._ratio = ratio
         self._least = least
+        self._slack = slack
+        self._window = window
         self._buckets: deque[list[int]] = deque()
         self._requests = 0
         self._retries = 0
@@ -31,14 +41,15 @@
     def take(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
         bucket = self._find_bucket(now)
-        if self._retries + 1 > max(self._least, int(self._ratio * self._requests)):
+        part = int(self._ratio * self._requests) + self._slack
+        if self._retries + 1 > max(self._least, part):
             return False
         bucket[2] += 1
         self._retries += 1
         return True
 
     def _find_bucket(self, now: float) -> list[int]:
-        number = int(now * BUCKETS / WINDOW_SECONDS)
+        number = int(now * BUCKETS / self._window)
         while self._buckets and self._buckets[0][0] <= number - BUCKETS:
             _, requests, retries = self._buckets.popleft()
             self._requests -= requests
--- a/libraries/retries/shallotspindle_retries/budget_test.py
+++ b/libraries/retries/shallotspindle_retries/budget_test.py
@@ -43,3 +43,21 @@
 
 class TestBudget(BudgetMachine.TestCase):
     """Guards against retries beyond the part of the requests in the window."""
+
+
+class TestSlack:
+    def test_the_slack_comes_on_top_of_the_part(self):
+        # Guards against repeats refused although the deployment allows both.
+        budget = Budget(ratio=0.2, least=0, slack=5)
+        for _ in range(50):
+            budget.count_request(0.0)
+        assert [budget.take(0.0) for _ in range(16)] == [True] * 15 + [False]
+
+
+class TestWindow:
+    def test_a_short_window_is_kept(self):
+        # Guards against the repeats of ten seconds spent within a window of two.
+        budget = Budget(ratio=0.0, least=0, slack=2, window=2.0)
+        assert [budget.take(0.0) for _ in range(3)] == [True, True, False]
+        assert not budget.take(1.7)
+        assert budget.take(2.1)
--- a/libraries/standins/shallotspindle_standins/main.py
+++ b/libraries/standins/shallotspindle_standins/main.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from cyclopts import App
 
-from shallotspindle_platform.clock import SystemClock
+from shallotspindle_environment.clock import SystemClock
 from shallotspindle_standins.listing import ListStandin
 from shallotspindle_standins.store import StoreStandin
 from shallotspindle_standins.upstreams import UpstreamStandin
--- a/libraries/standins/shallotspindle_standins/store_test.py
+++ b/libraries/standins/shallotspindle_standins/store_test.py
@@ -6,9 +6,9 @@
 from aiohttp import web
 
 from shallotspindle_core.clock import ManualClock
-from shallotspindle_platform.etcd import EtcdStore
-from shallotspindle_platform.interface import Conflict, OutcomeUnknown, StoreBusy
-from shallotspindle_platform.listing import HttpInstanceList
+from shallotspindle_environment.etcd import EtcdStore
+from shallotspindle_environment.interface import Conflict, OutcomeUnknown, StoreBusy
+from shallotspindle_environment.listing import HttpInstanceList
 from shallotspindle_standins.listing import ListStandin
 from shallotspindle_standins.store import StoreStandin
 
