Place work by the probability that an upstream is gray

Change: a two-state hidden Markov model of each upstream (beliefs.py) ranks proven upstreams; reads prove the most doubtful of those that are likely sound; work with an effect waits 0.1 s for a proven upstream. Silent lenders are left out for growing pauses, and an instance whose lenders are all silent lends to itself, without slack for repeats. Ways that single instances lost suspend nobody while others get answers.

Ruled out: cautious waiting of 0.03 or 0.2 s and other parts of exploration, which change nothing beyond noise.

--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -232,6 +232,21 @@
         for _ in range(3):
             assert (await fleet.send(daemon))[0] == 200
 
+    async def test_an_instance_without_lenders_remembers_what_fails(
+        self, fleet, monkeypatch
+    ):
+        # Guards against an instance that is cut from its neighbours and goes on to
+        # send orders to an upstream that answers all of them with an error.
+        monkeypatch.setattr(lending, "ANSWER_SECONDS", 0.02)
+        daemon = await start(fleet, "error", "whole", "whole")
+        for number in range(6):
+            value = f'["127.0.0.1:{number + 1}", "a"]'.encode()
+            fleet.store.put(f"members/dead-{number}", value)
+        await fleet.await_true(lambda: len(daemon.follower.members) == 7)
+        for _ in range(12):
+            await fleet.send(daemon, "/orders/1", method="POST")
+        assert len(fleet.upstreams["u0"].runs) <= 3
+
     async def test_a_domain_without_upstreams_borrows_elsewhere(self, fleet):
         await fleet.add_upstream(domain="b")
         far = await fleet.add_gateway(domain="b")
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -41,8 +41,9 @@
 # lender after a change of members, and windows that cut the lenders' windows.
 BUDGET_PART = 0.9
 ANSWER_SECONDS = 0.1
-# A lender that did not answer is asked last for this time.
-SILENT_SECONDS = 2.0
+# A lender that did not answer is not asked for this time, then twice as long.
+SILENT_SECONDS = 1.0
+LONGEST_SILENT_SECONDS = 8.0
 # A queued question is sent again in case the decision was lost.
 REPEAT_SECONDS = 0.2
 LENDERS_ASKED = 3
@@ -92,6 +93,18 @@
     hedge_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """A lender that did not answer.
+
+    :param until: until when it is not asked, in seconds.
+    :param pause: length of that pause, in seconds.
+    """
+
+    until: float
+    pause: float
+
+
 Answer = SlotLent | SlotRefused
 LOGGED_OUTCOMES = FAILURES | {Outcome.MISDIRECTED, Outcome.NOT_CONNECTED}
 
@@ -120,9 +133,10 @@
         self._numbers = itertools.count(1)
         self._crashes = Crashes()
         self._desks: dict[ServiceName, Desk] = {}
-        self._directory_version = -1
+        # Versions of the upstreams and number of members that the desks know.
+        self._seen = (-1, 0)
         self._decisions: dict[int, asyncio.Future] = {}
-        self._silent: dict[str, float] = {}
+        self._silences: dict[str, Silence] = {}
         follower.subscribe(self._update)
         peers.register(SlotAsked, self._answer_ask)
         peers.register(SlotReturned, self._take_back)
@@ -143,11 +157,13 @@
 
     def _update(self) -> None:
         upstreams = self._follower.upstreams
-        if upstreams.version == self._directory_version:
+        standpoint = (upstreams.version, len(self._follower.members))
+        if standpoint == self._seen:
             return
-        self._directory_version = upstreams.version
+        self._seen = standpoint
         for service, desk in self._desks.items():
             desk.update(upstreams.list_usable(service, self._own.domain))
+            desk.budget.slack = self._find_slack(service)
 
     def _find_desk(self, service: ServiceName) -> Desk:
         desk = self._desks.get(service)
@@ -161,15 +177,26 @@
         return desk
 
     def _build_budget(self, service: ServiceName) -> Budget:
-        """Return this domain's part of the fleet's budget for repeats."""
-        domains = max(1, len(self._follower.upstreams.list_domains(service)))
+        """Return the budget for repeats of a desk of this instance."""
         return Budget(
             BUDGET_PART * self._bounds.retry_ratio,
             least=0,
-            slack=int(BUDGET_PART * self._bounds.retry_slack / 2 / domains),
+            slack=self._find_slack(service),
             window=self._bounds.retry_window_seconds,
         )
 
+    def _find_slack(self, service: ServiceName) -> int:
+        """Return the repeats in a window that a desk has beside its part.
+
+        Only the first lender of a domain has them: while instances are cut from each
+        other, every one of them may lend to itself.
+        """
+        lenders = self._rank_members(service, self._own.domain)
+        if lenders[0] != self._own.address:
+            return 0
+        domains = max(1, len(self._follower.upstreams.list_domains(service)))
+        return int(BUDGET_PART * self._bounds.retry_slack / 2 / domains)
+
     def _answer_ask(self, sender: str, asked: SlotAsked) -> Any:
         decided = self._find_desk(asked.service).ask(asked, self._clock.boottime())
         answer: Any = SlotQueued(asked.number)
@@ -234,7 +261,7 @@
             if found.reason in (Reason.HELD, Reason.NO_BUDGET):
                 break
         if refused.reason is Reason.SILENT:
-            return self._borrow_alone(want) or refused
+            return await self._borrow_alone(want) or refused
         return refused
 
     def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
@@ -246,13 +273,35 @@
         return [self._own.domain, *others] if self._own.domain in counts else others
 
     def _rank_lenders(self, service: ServiceName, domain: FailureDomain) -> list[str]:
+        """Return the lenders to ask, without those that were silent lately."""
         now = self._clock.boottime()
+        ranked = self._rank_members(service, domain)
+        return [name for name in ranked if not self._is_silent(name, now)]
+
+    def _rank_members(self, service: ServiceName, domain: FailureDomain) -> list[str]:
+        """Return the instances of a domain in the order in which they lend."""
         members = self._follower.members.values()
         addresses = {m.address for m in members if m.domain == domain}
         if domain == self._own.domain:
             addresses.add(self._own.address)
-        ranked = hashing.rank_rendezvous(f"lender {service}", addresses)
-        return sorted(ranked, key=lambda name: self._silent.get(name, now) > now)
+        return hashing.rank_rendezvous(f"lender {service}", addresses)
+
+    def _is_silent(self, lender: str, now: float) -> bool:
+        silence = self._silences.get(lender)
+        return silence is not None and now < silence.until
+
+    def _note_silence(self, lender: str, service: ServiceName) -> None:
+        before = self._silences.get(lender)
+        pause = min(
+            LONGEST_SILENT_SECONDS, 2 * before.pause if before else SILENT_SECONDS
+        )
+        self._silences[lender] = Silence(self._clock.boottime() + pause, pause)
+        logging.info(
+            "the lender %s of %s is silent, not asked for %.0f s",
+            lender,
+            service,
+            pause,
+        )
 
     async def _borrow_in(
         self, domain: FailureDomain, want: Want, wait: float
@@ -260,9 +309,9 @@
         for lender in self._rank_lenders(want.service, domain)[:LENDERS_ASKED]:
             found = await self._borrow_from(lender, want, wait)
             if found is not None:
+                self._silences.pop(lender, None)
                 return found
-            self._silent[lender] = self._clock.boottime() + SILENT_SECONDS
-            logging.info("the lender %s of %s is silent", lender, want.service)
+            self._note_silence(lender, want.service)
         return None
 
     def _build_question(self, want: Want, wait: float) -> SlotAsked:
@@ -328,17 +377,23 @@
                 return answer
         return SlotRefused(asked.number, Reason.BUSY, HEDGE_SECONDS)
 
-    def _borrow_alone(self, want: Want) -> Borrowed | None:
-        """Choose an upstream without a lender; every lender is silent.
+    async def _borrow_alone(self, want: Want) -> Borrowed | SlotRefused | None:
+        """Lend to oneself; every lender is silent.
 
-        Without a lender there is no budget for repeats.
+        The own desk remembers what the requests of this instance saw. A second lender
+        has no part in the budget for repeats.
         """
         if want.repeat:
             return None
+        wait = max(0.0, want.until - self._clock.boottime())
+        if self._own.domain in self._follower.upstreams.list_domains(want.service):
+            return await self._borrow_from(self._own.address, want, wait)
+        return self._draw(want)
+
+    def _draw(self, want: Want) -> Borrowed | None:
+        """Draw an upstream of another domain, whose lenders are silent."""
         usable = self._follower.upstreams.list_usable(want.service)
         names = sorted(usable.keys() - set(want.avoid))
-        near = [n for n in names if usable[n].announcement.domain == self._own.domain]
-        names = near or names
         if not names:
             return None
         name = names[self._random.randrange(len(names))]
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -16,6 +16,7 @@
 from shallotspindle_core.identifiers import ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_lending.crashes import Crashes
+from shallotspindle_lending.durations import Durations
 from shallotspindle_lending.records import (
     Decision,
     Outcome,
@@ -30,15 +31,6 @@
 from shallotspindle_registry.directory import Known
 from shallotspindle_retries.budget import Budget
 
-# Runs that take longer than all but one in ten count as overdue.
-OVERDUE_QUANTILE = 0.9
-OVERDUE_FACTOR = 1.15
-LEAST_OVERDUE_SECONDS = 0.15
-FIRST_OVERDUE_SECONDS = 0.35
-FIRST_WORK_SECONDS = 0.15
-USUAL_QUANTILE = 0.7
-DURATION_COUNT = 200
-LEAST_DURATIONS = 20
 # An asker reports until its deadline; later reports were lost.
 REPORT_SLACK_SECONDS = 0.5
 # Requests that may run twice look for unproven upstreams at least this often.
@@ -50,13 +42,13 @@
 GROWTH_FACTOR = 1.25
 LEAST_RATE = 5.0
 LARGEST_RATE = 1024
-# What makes a proof worth as much as an older one with a loan less. Behind an old proof
-# one request at a time is sent: until it ends, the upstream may have turned gray.
-LOAN_SECONDS = 0.03
-OLD_PROOF_SECONDS = 0.5
-OLD_LOAN_SECONDS = 1.0
 # A request with no trusted upstream waits this long before it takes a doubtful one.
 PATIENCE_SECONDS = 0.15
+# A read proves the most doubtful of the proven upstreams that are below this
+# probability of being gray; the others are left to heal.
+LARGEST_READ_RISK = 0.06
+# Work with an effect waits this long for a proven upstream before an unproven one.
+CAUTION_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,51 +84,6 @@
     decision: Decision
 
 
-class Durations:
-    """Times of the latest runs that ended well."""
-
-    def __init__(self) -> None:
-        self._latest: deque[float] = deque(maxlen=DURATION_COUNT)
-        self._overdue = FIRST_OVERDUE_SECONDS
-        self._usual = FIRST_WORK_SECONDS
-        self._count = 0
-
-    @property
-    def overdue(self) -> float:
-        """Age of a run beyond which it counts as overdue, in seconds."""
-        return self._overdue
-
-    @property
-    def mean(self) -> float:
-        """Mean time of a run, in seconds."""
-        if not self._latest:
-            return FIRST_WORK_SECONDS
-        return sum(self._latest) / len(self._latest)
-
-    @property
-    def usual(self) -> float:
-        """Time that most runs take, in seconds."""
-        return self._usual
-
-    def add(self, seconds: float) -> None:
-        """Count the time of a run."""
-        self._latest.append(seconds)
-        self._count += 1
-        if len(self._latest) < LEAST_DURATIONS or self._count % 10:
-            return
-        ordered = sorted(self._latest)
-        found = ordered[int(OVERDUE_QUANTILE * len(ordered))]
-        self._overdue = max(LEAST_OVERDUE_SECONDS, OVERDUE_FACTOR * found)
-        self._usual = ordered[int(USUAL_QUANTILE * len(ordered))]
-
-
-def rank_proof(standing: Standing, now: float) -> float:
-    """Return how far a proof is to be trusted, the lowest most, in seconds."""
-    age = now - standing.proven_at
-    loan = LOAN_SECONDS if age < OLD_PROOF_SECONDS else OLD_LOAN_SECONDS
-    return age + loan * len(standing.loans)
-
-
 class Desk:
     """Slots of the upstreams of one service in one failure domain.
 
@@ -154,7 +101,7 @@
         self._service = service
         self._crashes = crashes
         self._random = random
-        self._budget = budget
+        self.budget = budget
         self._durations = Durations()
         self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
@@ -312,7 +259,7 @@
             return Reason.NO_UPSTREAM
         if self._crashes.is_held(asked.fingerprint, now):
             return Reason.HELD
-        if asked.repeat and not self._budget.take(now):
+        if asked.repeat and not self.budget.take(now):
             return Reason.NO_BUDGET
         return None
 
@@ -331,7 +278,7 @@
             return None
         if not asked.repeat:
             # Counted where it is sent: a busy desk passes its questions on to others.
-            self._budget.count_request(now)
+            self.budget.count_request(now)
         left = asked.seconds - (now - item.since)
         until = now + left + REPORT_SLACK_SECONDS
         is_slow = self._routes.is_slow(asked.route)
@@ -353,26 +300,63 @@
         return Addressed(asked.asker, lent)
 
     def _choose(self, item: Waiting, now: float) -> Standing | None:
-        tiers = self._sort(item.asked, now)
-        trusted = self._choose_trusted(item.asked, tiers, now)
+        asked = item.asked
+        tiers = self._sort(asked, now)
+        if asked.repeatable and not asked.repeat:
+            trusted = self._choose_for_proof(tiers, now)
+        else:
+            trusted = self._choose_safest(item, tiers, now)
         if trusted is not None:
             return trusted
-        wait = item.asked.wait_seconds
-        if wait <= 0 or now - item.since < min(PATIENCE_SECONDS, wait):
+        if not self._has_waited(item, PATIENCE_SECONDS, now):
             return None
         rest = tiers[Tier.DOUBTFUL] or tiers[Tier.SUSPENDED]
         return min(rest, key=lambda s: s.suspended_until, default=None)
 
-    def _choose_trusted(
-        self, asked: SlotAsked, tiers: Mapping[Tier, list[Standing]], now: float
+    @staticmethod
+    def _has_waited(item: Waiting, seconds: float, now: float) -> bool:
+        """Return whether a question that may wait has waited long enough."""
+        wait = item.asked.wait_seconds
+        return wait > 0 and now - item.since >= min(seconds, wait)
+
+    def _choose_for_proof(
+        self, tiers: Mapping[Tier, list[Standing]], now: float
     ) -> Standing | None:
+        """Choose for a request that may run twice: where a proof is needed most."""
         proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
-        if asked.repeatable and not asked.repeat and self._explores(tiers):
+        if self._explores(tiers):
             return min(unproven, key=lambda s: (len(s.loans), s.lent_at))
+        gray = {s.announcement.name: self._estimate_gray(s, now) for s in proven}
+        likely_sound = [n for n, odds in gray.items() if odds <= LARGEST_READ_RISK]
+        if likely_sound:
+            return self._standings[max(likely_sound, key=gray.__getitem__)]
+        return min(proven, key=lambda s: gray[s.announcement.name], default=None)
+
+    def _choose_safest(
+        self, item: Waiting, tiers: Mapping[Tier, list[Standing]], now: float
+    ) -> Standing | None:
+        """Choose for a request that is lost where its upstream is gray.
+
+        A slot of a proven upstream is worth a short wait as long as there is one.
+        """
+        proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
         if proven:
-            return min(proven, key=lambda s: rank_proof(s, now))
+            return min(proven, key=lambda s: self._estimate_gray(s, now))
+        waits = not item.asked.repeatable and self._has_proven(now)
+        if waits and not self._has_waited(item, CAUTION_SECONDS, now):
+            return None
         return min(unproven, key=self._rank_unproven, default=None)
 
+    def _estimate_gray(self, standing: Standing, now: float) -> float:
+        return standing.estimate_gray(self._durations, now)
+
+    def _has_proven(self, now: float) -> bool:
+        """Return whether a slot of a proven upstream will be free."""
+        overdue = self._durations.overdue
+        return any(
+            item.rank(overdue, now) is Tier.PROVEN for item in self._standings.values()
+        )
+
     @staticmethod
     def _rank_unproven(standing: Standing) -> tuple[int, int, float]:
         return (standing.probation, len(standing.loans), -standing.proven_at)
--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from shallotspindle_lending.beliefs import UNKNOWN, Belief
+from shallotspindle_lending.durations import Durations
 from shallotspindle_lending.records import Outcome
 from shallotspindle_registry.records import Announcement
 
@@ -63,6 +65,8 @@
     """State of one upstream.
 
     :param proven_at: start of the latest run that ended well, in seconds.
+    :param answered_at: when a run last ended well for any asker, in seconds.
+    :param unreached: askers that could not connect, with the end of their pause.
     :param probation: runs that must still end well after the last suspension.
     """
 
@@ -78,6 +82,8 @@
     probation: int = 0
     errors: int = 0
     unreached: dict[str, float] = field(default_factory=dict)
+    answered_at: float = float("-inf")
+    belief: Belief = UNKNOWN
 
     def expire(self, now: float) -> None:
         """Take back slots whose askers did not report."""
@@ -109,6 +115,14 @@
             return Tier.PROVEN
         return Tier.UNPROVEN
 
+    def estimate_gray(self, durations: Durations, now: float) -> float:
+        """Return the probability that a request sent now meets a gray upstream."""
+        belief = self.belief.predict(now)
+        for loan in self.loans.values():
+            if not loan.is_slow:
+                belief = belief.note_running(durations.find_longer(now - loan.started))
+        return belief.gray
+
     def note(self, outcome: Outcome, asker: str, started: float, now: float) -> None:
         """Count how a run ended.
 
@@ -116,7 +130,7 @@
         """
         match outcome:
             case Outcome.WHOLE:
-                self._note_whole(started)
+                self._note_whole(started, now)
             case Outcome.ERROR:
                 self._note_error(now)
             case Outcome.SHED:
@@ -132,6 +146,7 @@
         """Give the upstream no work for a while, longer each time."""
         self.proven_at = float("-inf")
         self.failed_at = now
+        self.belief = self.belief.note_failure(now)
         if now < self.suspended_until:
             return
         self.suspended_until = now + self.suspension
@@ -144,9 +159,11 @@
         self.probation = 0
         self.suspension = FIRST_SUSPENSION_SECONDS
 
-    def _note_whole(self, started: float) -> None:
+    def _note_whole(self, started: float, now: float) -> None:
+        self.answered_at = now
         if started < self.failed_at:
             return
+        self.belief = self.belief.note_whole(now)
         self.errors = 0
         self.probation = max(0, self.probation - 1)
         if not self.probation:
@@ -155,6 +172,7 @@
 
     def _note_error(self, now: float) -> None:
         self.errors += 1
+        self.belief = self.belief.note_error(now)
         self.proven_at = float("-inf")
         self.probation = max(self.probation, ERROR_RUNS)
         if self.errors >= LARGEST_ERRORS:
@@ -170,7 +188,15 @@
         self.proven_at = float("-inf")
 
     def _note_unreached(self, asker: str, now: float) -> None:
+        """Pause the pair of asker and upstream, and the upstream if none reaches it.
+
+        An upstream that answered somebody since the first of these askers failed is
+        alive; the ways of the askers are cut.
+        """
         self.unreached = {a: t for a, t in self.unreached.items() if t > now}
         self.unreached[asker] = now + PAIR_SECONDS
-        if len(self.unreached) >= LEAST_UNREACHED_ASKERS:
+        first_failed = min(self.unreached.values()) - PAIR_SECONDS
+        if len(self.unreached) >= LEAST_UNREACHED_ASKERS and (
+            self.answered_at < first_failed
+        ):
             self.suspend(now)
--- a/libraries/lending/shallotspindle_lending/standing_test.py
+++ b/libraries/lending/shallotspindle_lending/standing_test.py
@@ -105,6 +105,16 @@
         standing.note(Outcome.NOT_CONNECTED, "b", 0.0, 0.2)
         assert standing.rank(OVERDUE, 0.3) is Tier.SUSPENDED
 
+    def test_cut_ways_do_not_suspend_an_upstream_that_answers_others(self):
+        # Guards against healthy capacity that is taken out because some instances
+        # lost their way to it.
+        standing = build_standing()
+        standing.note(Outcome.NOT_CONNECTED, "a", 0.0, 0.1)
+        standing.note(Outcome.WHOLE, "c", 0.1, 0.2)
+        standing.note(Outcome.NOT_CONNECTED, "b", 0.2, 0.3)
+        assert standing.rank(OVERDUE, 0.4) is Tier.PROVEN
+        assert not standing.has_room("b", 0.4)
+
     def test_no_more_loans_than_slots(self):
         standing = build_standing()
         for number in range(2):
--- a/libraries/retries/shallotspindle_retries/budget.py
+++ b/libraries/retries/shallotspindle_retries/budget.py
@@ -14,7 +14,7 @@
 
     :param ratio: retries as a part of the requests in the window.
     :param least: retries in a window that are always granted.
-    :param slack: retries in a window beside that part.
+    :param slack: retries in a window beside that part; it may change.
     :param window: length of the window, in seconds.
     """
 
@@ -27,7 +27,7 @@
     ) -> None:
         self._ratio = ratio
         self._least = least
-        self._slack = slack
+        self.slack = slack
         self._window = window
         self._buckets: deque[list[int]] = deque()
         self._requests = 0
@@ -41,7 +41,7 @@
     def take(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
         bucket = self._find_bucket(now)
-        part = int(self._ratio * self._requests) + self._slack
+        part = int(self._ratio * self._requests) + self.slack
         if self._retries + 1 > max(self._least, part):
             return False
         bucket[2] += 1
