Take new bounds on SIGHUP

Cause: SIGHUP only wrote a line; changed bounds came into force at the next start. Change: the settings file is read again and the bounds reach the tasks that use them; a file that cannot be used changes nothing.

--- a/libraries/gateway/shallotspindle_gateway/admission.py
+++ b/libraries/gateway/shallotspindle_gateway/admission.py
@@ -14,6 +14,7 @@
     TokenGiven,
 )
 from shallotspindle_gateway.peers import Peers
+from shallotspindle_gateway.records import Bounds
 from shallotspindle_gateway.rights import Rights, name_right
 from shallotspindle_limits.leased import Promise, TeamBuckets
 from shallotspindle_limits.records import Limit
@@ -31,7 +32,7 @@
 class Admission:
     """Gives the tokens of held rights and asks for the others.
 
-    :param window: length of the windows in which rates count, in seconds.
+    :param bounds: says in which windows rates count.
     """
 
     def __init__(
@@ -40,9 +41,9 @@
         rights: Rights,
         peers: Peers,
         clock: Clock,
-        window: float | None,
+        bounds: Bounds,
     ) -> None:
-        self._window = window
+        self._window = bounds.rate_window_seconds
         self._follower = follower
         self._rights = rights
         self._peers = peers
@@ -50,6 +51,10 @@
         self._buckets: dict[str, tuple[float, TeamBuckets]] = {}
         peers.register(TokenAsked, self._answer)
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take new bounds; buckets in use keep their window until the right moves."""
+        self._window = bounds.rate_window_seconds
+
     async def acquire(self, team: Team, seconds: float) -> Answer:
         """Take one token of a team and wait until it may be used.
 
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -5,11 +5,15 @@
 import secrets
 import signal
 import socket
+from collections.abc import Callable
+from dataclasses import replace
 
 import aiomisc
 from absl import logging
+from expression import Result
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_core.failures import Failure
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_gateway import messages
 from shallotspindle_gateway.admission import Admission
@@ -21,6 +25,7 @@
 from shallotspindle_gateway.peers import Peers
 from shallotspindle_gateway.pipeline import Pipeline
 from shallotspindle_gateway.records import Endpoint, Member, Settings
+from shallotspindle_gateway.renewals import Renewals
 from shallotspindle_gateway.reporting import Reporter
 from shallotspindle_gateway.rights import Rights
 from shallotspindle_gateway.storage import Decoder, Store
@@ -45,17 +50,27 @@
     return found
 
 
+Reload = Callable[[], Result[Settings, Failure]]
+
+
 class Daemon:
     """One gateway: its tasks and the order in which it stops.
 
     :param store: the platform's store.
     :param decoder: reads the documents in the store.
+    :param reload: reads the settings again; None if they cannot change.
     """
 
     def __init__(
-        self, settings: Settings, store: Store, decoder: Decoder, clock: Clock
+        self,
+        settings: Settings,
+        store: Store,
+        decoder: Decoder,
+        clock: Clock,
+        reload: Reload | None = None,
     ) -> None:
         self._settings = settings
+        self._reload = reload
         self._clock = clock
         source = random.SystemRandom()
         self._lifecycle = Lifecycle()
@@ -66,23 +81,22 @@
         self.peers = Peers(bind_datagram(settings.peers), messages.MESSAGE_TYPES)
         own = Member(self.peers.address, settings.domain)
         self.follower = Follower(own, store, decoder, self.peers, clock)
-        self._rights = Rights(own, secrets.token_hex(8), store, self.follower, clock)
+        renewals = Renewals(store, self.follower, self.peers)
+        self.rights = Rights(
+            own, secrets.token_hex(8), store, self.follower, renewals, clock
+        )
         self.lending = Lending(
             own, self.follower, self.peers, settings.bounds, clock, source
         )
         names = settings.headers
         forwarder = Forwarder(names.request_id, names.not_run, clock)
-        admission = Admission(
-            self.follower,
-            self._rights,
-            self.peers,
-            clock,
-            settings.bounds.rate_window_seconds,
+        self._admission = Admission(
+            self.follower, self.rights, self.peers, clock, settings.bounds
         )
         self._pipeline = Pipeline(
             settings,
             self.follower,
-            admission,
+            self._admission,
             Executor(self.lending, forwarder, clock),
             clock,
             source,
@@ -100,7 +114,7 @@
         self.services = [
             self.peers,
             self.follower,
-            self._rights,
+            self.rights,
             self.lending,
             forwarder,
             self._frontend,
@@ -127,15 +141,35 @@
             loop = asyncio.get_running_loop()
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.add_signal_handler(number, stopped.set)
-            loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+            loop.add_signal_handler(signal.SIGHUP, self.reload)
             logging.info(
                 "%s started, peers %s", self._settings.name, self.peers.address
             )
             await stopped.wait()
             await self.stop()
 
-    def _note_reload(self) -> None:
-        logging.info("reload: the settings of a running process do not change")
+    def reload(self) -> None:
+        """Read the settings again and take the bounds; addresses stay as they are."""
+        if self._reload is None:
+            logging.info("reload: these settings cannot change")
+            return
+        match self._reload():
+            case Result(tag="ok", ok=Settings() as found):
+                self._apply(found)
+            case Result(tag="error", error=failure):
+                logging.error("reload: the settings stay as they were: %s", failure)
+
+    def _apply(self, found: Settings) -> None:
+        if found == self._settings:
+            logging.info("reload: nothing changed")
+            return
+        if replace(found, bounds=self._settings.bounds) != self._settings:
+            logging.warning("reload: new addresses and names need a restart")
+        self._settings = replace(self._settings, bounds=found.bounds)
+        self._pipeline.set_bounds(found.bounds)
+        self.lending.set_bounds(found.bounds)
+        self._admission.set_bounds(found.bounds)
+        logging.info("reload: %s are in force", found.bounds)
 
     async def stop(self) -> None:
         """Stop within the time for it, and cut no request."""
@@ -145,7 +179,7 @@
             "the planned stop begins, %d requests run", self._lifecycle.running
         )
         self._lifecycle.stage = Stage.STOPPING
-        await self._rights.leave()
+        await self.rights.leave()
         await self._sleep_until(started + IDLE_PART * total)
         self._frontend.close_idle()
         await self._sleep_until(started + LISTENING_PART * total)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -23,7 +23,7 @@
 from shallotspindle_gateway.forwarding import Answer, Order
 from shallotspindle_gateway.lending import Borrowed, Want
 from shallotspindle_gateway.messages import TokenDenied, TokenGiven
-from shallotspindle_gateway.records import Deployment, Settings
+from shallotspindle_gateway.records import Bounds, Deployment, Settings
 from shallotspindle_gateway.refusals import Refusal
 from shallotspindle_keys import directory
 from shallotspindle_lending.records import Outcome, Reason
@@ -111,13 +111,17 @@
         random: RandomSource,
     ) -> None:
         self._names = settings.headers
-        self._fresh_seconds = FRESH_PART * settings.bounds.key_seconds
+        self.set_bounds(settings.bounds)
         self._follower = follower
         self._admission = admission
         self._executor = executor
         self._clock = clock
         self._random = random
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take new bounds."""
+        self._fresh_seconds = FRESH_PART * bounds.key_seconds
+
     async def serve(self, request: web.BaseRequest, trace: Trace) -> Answer | Refusal:
         """Return the answer to a request, and fill in its trace."""
         arrived = self._clock.boottime()
