Renew leases through neighbours and watch with one instance a domain

Change: an instance that the store refuses asks two neighbours to renew its lease, and counts from its own question. One watcher a domain; the watchers of other domains stand in. Leases of 3.0 s, renewed every 1.2 s. A request waits 0.05 s for a slot near before other domains are asked.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -36,7 +36,9 @@
 
 MEMBER_PREFIX = "members/"
 RIGHT_PREFIX = "limits/"
-WATCHER_COUNT = 2
+# Each waiting watch is a call at the store; watchers of other domains stand in for one.
+WATCHER_COUNT = 1
+STAND_INS_ASKED = 2
 WATCH_SECONDS = 1.0
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
@@ -118,7 +120,7 @@
                 await asyncio.sleep(POLL_SECONDS)
             elif not await self._watch():
                 await self._ask_neighbours(
-                    self._list_neighbours(), LARGEST_NEIGHBOUR_SILENCE_SECONDS
+                    self.list_neighbours(), LARGEST_NEIGHBOUR_SILENCE_SECONDS
                 )
 
     async def _hear_watchers(self) -> bool:
@@ -126,7 +128,8 @@
         watchers = self.rank_watchers()
         if self._own.address in watchers:
             return False
-        return await self._ask_neighbours(watchers, LARGEST_SILENCE_SECONDS)
+        asked = [*watchers, *self._list_stand_ins()]
+        return await self._ask_neighbours(asked, LARGEST_SILENCE_SECONDS)
 
     # What the store says.
 
@@ -196,16 +199,26 @@
 
     # What neighbours say.
 
-    def rank_watchers(self) -> list[str]:
-        """Return the addresses of the instances that watch for this domain."""
-        addresses = {
-            member.address
-            for member in self.members.values()
-            if member.domain == self._own.domain
-        } | {self._own.address}
+    def rank_watchers(self, domain: FailureDomain | None = None) -> list[str]:
+        """Return the addresses of the instances that watch for a domain.
+
+        :param domain: the failure domain; None for that of this instance.
+        """
+        domain = domain or self._own.domain
+        addresses = {m.address for m in self.members.values() if m.domain == domain}
+        if domain == self._own.domain:
+            addresses.add(self._own.address)
         return hashing.rank_rendezvous("watcher", addresses)[:WATCHER_COUNT]
 
-    def _list_neighbours(self) -> list[str]:
+    def _list_stand_ins(self) -> list[str]:
+        """Return watchers of other domains, in an order of this instance's own."""
+        domains = {m.domain for m in self.members.values()} - {self._own.domain}
+        ranked = hashing.rank_rendezvous(f"stand-in {self._own.address}", domains)
+        found = [address for domain in ranked for address in self.rank_watchers(domain)]
+        return found[:STAND_INS_ASKED]
+
+    def list_neighbours(self) -> list[str]:
+        """Return the instances to ask when the store does not answer."""
         near = {
             m.address for m in self.members.values() if m.domain == self._own.domain
         }
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -49,8 +49,10 @@
 LENDERS_ASKED = 3
 TICK_SECONDS = 0.05
 HEDGE_SECONDS = 0.35
-# A heavy request waits this long for a slot in its own domain first.
-HEAVY_WAIT_SECONDS = 0.15
+# A request waits this long for a slot in its own domain before others are asked; one
+# whose body is dear to send to them waits longer.
+NEAR_WAIT_SECONDS = 0.05
+HEAVY_WAIT_SECONDS = 0.14
 # Questions below this wait are answered at once, so that other domains can be asked.
 NO_WAIT = 0.0
 
@@ -155,6 +157,12 @@
 
     # Lending.
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take new bounds; the desks begin new windows for repeats."""
+        self._bounds = bounds
+        for service, desk in self._desks.items():
+            desk.budget = self._build_budget(service)
+
     def _update(self) -> None:
         upstreams = self._follower.upstreams
         standpoint = (upstreams.version, len(self._follower.members))
@@ -246,12 +254,7 @@
         if not domains:
             return SlotRefused(0, Reason.NO_UPSTREAM, 1.0)
         refused = SlotRefused(0, Reason.SILENT, 0.5)
-        plans = [(domain, NO_WAIT) for domain in domains]
-        if want.heavy:
-            plans[0] = (domains[0], HEAVY_WAIT_SECONDS)
-        if not want.hedge:
-            plans.append((domains[0], max(0.0, want.until - self._clock.boottime())))
-        for domain, wait in plans:
+        for domain, wait in self._plan(want, domains):
             found = await self._borrow_in(domain, want, wait)
             if isinstance(found, Borrowed):
                 return found
@@ -264,6 +267,17 @@
             return await self._borrow_alone(want) or refused
         return refused
 
+    def _plan(
+        self, want: Want, domains: list[FailureDomain]
+    ) -> list[tuple[FailureDomain, float]]:
+        """Return the domains to ask, and how long to wait in each, in seconds."""
+        plans = [(domain, NO_WAIT) for domain in domains]
+        if want.hedge:
+            return plans
+        near = HEAVY_WAIT_SECONDS if want.heavy else NEAR_WAIT_SECONDS
+        left = max(0.0, want.until - self._clock.boottime())
+        return [(domains[0], min(near, left)), *plans[1:], (domains[0], left)]
+
     def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
         counts = self._follower.upstreams.list_domains(service)
         others = sorted(domain for domain in counts if domain != self._own.domain)
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -72,7 +72,27 @@
     is_whole: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class RenewalAsked:
+    """Asks a neighbour to renew the lease of an instance that the store refuses."""
+
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewalTold:
+    """The store's answer to the renewal of a neighbour's lease.
+
+    :param is_ended: whether the lease has ended.
+    """
+
+    lease: int
+    is_ended: bool
+
+
 MESSAGE_TYPES = (
+    RenewalAsked,
+    RenewalTold,
     TokenAsked,
     TokenGiven,
     TokenDenied,
--- a/libraries/gateway/shallotspindle_gateway/rights.py
+++ b/libraries/gateway/shallotspindle_gateway/rights.py
@@ -18,11 +18,12 @@
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_gateway.following import MEMBER_PREFIX, RIGHT_PREFIX, Follower
 from shallotspindle_gateway.records import Member
+from shallotspindle_gateway.renewals import Renewals
 from shallotspindle_gateway.storage import Lease, LeaseEnded, Store, Stored
 
 RIGHT_COUNT = 16
-LEASE_SECONDS = 2.5
-RENEWAL_SECONDS = 0.8
+LEASE_SECONDS = 3.0
+RENEWAL_SECONDS = 1.2
 # The first instances of a fleet would otherwise take all rights.
 SETTLING_SECONDS = 2.0
 RETRY_SECONDS = 0.3
@@ -49,6 +50,7 @@
         incarnation: str,
         store: Store,
         follower: Follower,
+        renewals: Renewals,
         clock: Clock,
         **kwargs: Any,
     ) -> None:
@@ -58,6 +60,7 @@
         self._member_key = MEMBER_PREFIX + incarnation
         self._store = store
         self._follower = follower
+        self._renewals = renewals
         self._clock = clock
         self._lease: Lease | None = None
         self._valid_until = float("-inf")
@@ -149,15 +152,33 @@
         sent_at = self._clock.boottime()
         match await self._store.renew_lease(self._lease.number):
             case Result(tag="ok"):
-                self._valid_until = sent_at + self._lease.seconds
+                self._extend(sent_at)
                 return True
             case Result(tag="error", error=LeaseEnded() as failure):
-                logging.warning("the lease has ended: %s", failure)
-                self._lease = None
-                self._drop_rights()
+                self._lose_lease(failure)
+                return False
             case Result(tag="error", error=failure):
                 logging.warning("the lease was not renewed: %s", failure)
-        return False
+        return await self._renew_by_neighbour()
+
+    async def _renew_by_neighbour(self) -> bool:
+        sent_at = self._clock.boottime()
+        told = await self._renewals.ask(self._lease.number)
+        if told is None:
+            return False
+        if told.is_ended:
+            self._lose_lease(LeaseEnded("store", "told by a neighbour"))
+            return False
+        self._extend(sent_at)
+        return True
+
+    def _extend(self, sent_at: float) -> None:
+        self._valid_until = max(self._valid_until, sent_at + self._lease.seconds)
+
+    def _lose_lease(self, failure: LeaseEnded) -> None:
+        logging.warning("the lease has ended: %s", failure)
+        self._lease = None
+        self._drop_rights()
 
     def _drop_rights(self) -> None:
         self._valid_until = float("-inf")
--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -35,6 +35,14 @@
 REPORT_SLACK_SECONDS = 0.5
 # Requests that may run twice look for unproven upstreams at least this often.
 EXPLORED_PART = 0.3
+# An unproven upstream that got nothing for this long gets the next read.
+IDLE_SECONDS = 0.8
+# While this part of the requests fails, what is thought of the upstreams is not worth
+# much, and most of them get work in every span of this length.
+LEAST_FAILED_PART = 0.06
+FLOOR_PART = 0.8
+FLOOR_SECONDS = 1.5
+LEAST_FLOOR_LOANS = 2
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 # Span over which the rate of lending is seen, and how far it may grow in it.
@@ -106,6 +114,8 @@
         self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
         self._queue: list[Waiting] = []
+        # When requests ended, in seconds, and whether they were served.
+        self._ended: deque[tuple[float, bool]] = deque(maxlen=LARGEST_RATE)
         # When slots were lent, in seconds.
         self._lent: deque[float] = deque(maxlen=LARGEST_RATE)
 
@@ -202,6 +212,8 @@
         """Count how a run ended, for its upstream and its route."""
         started = loan.started if loan else now - returned.seconds
         outcome = returned.outcome
+        if outcome is not Outcome.CANCELLED:
+            self._ended.append((now, outcome is Outcome.WHOLE))
         if outcome is Outcome.WHOLE:
             self._durations.add(returned.seconds)
             if loan is not None:
@@ -238,6 +250,7 @@
             if lent is not None:
                 decided.append(lent)
             elif now >= item.until:
+                self._ended.append((now, False))
                 decided.append(self._refuse(item.asked, Reason.BUSY))
             else:
                 left.append(item)
@@ -315,16 +328,15 @@
 
     @staticmethod
     def _has_waited(item: Waiting, seconds: float, now: float) -> bool:
-        """Return whether a question that may wait has waited long enough."""
-        wait = item.asked.wait_seconds
-        return wait > 0 and now - item.since >= min(seconds, wait)
+        """Return whether a question waited long enough to take a worse upstream."""
+        return now - item.since >= seconds
 
     def _choose_for_proof(
         self, tiers: Mapping[Tier, list[Standing]], now: float
     ) -> Standing | None:
         """Choose for a request that may run twice: where a proof is needed most."""
         proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
-        if self._explores(tiers):
+        if self._explores(tiers, now):
             return min(unproven, key=lambda s: (len(s.loans), s.lent_at))
         gray = {s.announcement.name: self._estimate_gray(s, now) for s in proven}
         likely_sound = [n for n, odds in gray.items() if odds <= LARGEST_READ_RISK]
@@ -339,6 +351,9 @@
 
         A slot of a proven upstream is worth a short wait as long as there is one.
         """
+        idle = self._find_idle(tiers, now)
+        if idle is not None:
+            return idle
         proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
         if proven:
             return min(proven, key=lambda s: self._estimate_gray(s, now))
@@ -361,13 +376,42 @@
     def _rank_unproven(standing: Standing) -> tuple[int, int, float]:
         return (standing.probation, len(standing.loans), -standing.proven_at)
 
-    def _explores(self, tiers: Mapping[Tier, list[Standing]]) -> bool:
-        if not tiers[Tier.UNPROVEN]:
+    def _explores(self, tiers: Mapping[Tier, list[Standing]], now: float) -> bool:
+        unproven = tiers[Tier.UNPROVEN]
+        if not unproven:
             return False
         if not tiers[Tier.PROVEN]:
             return True
+        if min(item.lent_at for item in unproven) < now - IDLE_SECONDS:
+            return True
         return self._random.random() < EXPLORED_PART
 
+    def _find_failed_part(self, since: float) -> float:
+        """Return the part of the requests that were not served since some time."""
+        served = [is_served for at, is_served in self._ended if at > since]
+        return 1 - sum(served) / len(served) if served else 0.0
+
+    def _find_idle(
+        self, tiers: Mapping[Tier, list[Standing]], now: float
+    ) -> Standing | None:
+        """Return an upstream that must get work, so that enough of them do."""
+        since = now - FLOOR_SECONDS
+        total = len(self._standings)
+        if sum(lent > since for lent in self._lent) < LEAST_FLOOR_LOANS * total:
+            return None
+        if self._find_failed_part(since) < LEAST_FAILED_PART:
+            return None
+        used = sum(item.lent_at > since for item in self._standings.values())
+        if used >= FLOOR_PART * total:
+            return None
+        idle = [
+            item
+            for tier in (Tier.PROVEN, Tier.UNPROVEN)
+            for item in tiers[tier]
+            if item.lent_at <= since
+        ]
+        return min(idle, key=lambda s: self._estimate_gray(s, now), default=None)
+
     def _sort(self, asked: SlotAsked, now: float) -> dict[Tier, list[Standing]]:
         tiers: dict[Tier, list[Standing]] = {tier: [] for tier in Tier}
         overdue = self._durations.overdue
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -74,6 +74,9 @@
         )
         return [item.decision for item in self.desk.give_back(returned, now)]
 
+    def fail(self, name: str, now: float) -> None:
+        self.desk.standings[UpstreamName(name)].note(Outcome.RESET, "me", now, now)
+
     def prove(self, name: str, now: float) -> None:
         self.desk.standings[UpstreamName(name)].note(Outcome.WHOLE, "me", now, now)
 
@@ -110,6 +113,30 @@
         assert refused.reason is Reason.NO_UPSTREAM
 
 
+class TestFloor:
+    def test_while_requests_fail_most_upstreams_get_work(self):
+        # Guards against healthy upstreams that get nothing because others are proven
+        # and no reads come to prove them.
+        fixture = Fixture(count=5)
+        now, used = 0.0, {}
+        for number in range(1, 200):
+            lent = fixture.lend(ask(number), now)
+            used[lent.upstream] = now
+            outcome = Outcome.SHED if number % 8 == 0 else Outcome.WHOLE
+            fixture.give_back(ask(number), lent, outcome, now + 0.02, 0.02)
+            now += 0.03
+        assert sum(at > now - 2.0 for at in used.values()) >= 4
+
+    def test_a_read_goes_to_an_upstream_that_was_suspended_long_ago(self):
+        fixture = Fixture(count=2)
+        fixture.fail("u0", 0.0)
+        now = 0.1
+        while now < 3.0:
+            fixture.prove("u1", now)
+            now += 0.1
+        assert fixture.lend(ask(900, repeatable=True), now).upstream == "u0"
+
+
 class TestSlowRoutes:
     def test_a_route_that_always_times_out_suspends_nobody(self):
         # Guards against one slow route that takes every sound upstream out of use.
