Add a randomized soak of the gateway's real processes

Change: library soak. Four gateways as processes, a stand-in of the platform's store (platform/shallotspindle_standin), loopback proxies before the store and the upstreams, 19 kinds of fault drawn from a seed, in series and overlapping, callers that keep their connections. Nine checks as pure functions over what callers and upstreams saw. Eight variants of the gateway, each without one mechanism, are all noticed (main_test.py).

--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the gateway's real processes under faults."""
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -0,0 +1,125 @@
+"""Runs a gateway with one mechanism switched off, to show that the soak notices.
+
+Usage: ``python -m shallotspindle_soak.broken NAME``; never used by a deployment.
+"""
+
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+
+from shallotspindle_adapter import main as adapter
+from shallotspindle_gateway import forwarding, headers, pipeline
+from shallotspindle_gateway.admission import Admission
+from shallotspindle_gateway.daemon import Daemon
+from shallotspindle_gateway.messages import TokenGiven
+from shallotspindle_gateway.pipeline import Pipeline
+from shallotspindle_gateway.refusals import NO_SLOT
+from shallotspindle_registry.directory import Directory
+from shallotspindle_registry.records import State
+
+
+def repeat_orders() -> None:
+    """Treat work with an effect as if it could run twice."""
+    build = Pipeline._build_want
+
+    def build_want(self, call, body):
+        return replace(build(self, call, body), repeatable=True)
+
+    Pipeline._build_want = build_want
+
+
+def refuse_after_runs() -> None:
+    """Say "not run" of whatever failed."""
+    conclude = Pipeline._conclude
+
+    def conclude_not_run(result, trace):
+        found = conclude(result, trace)
+        failed = getattr(found, "status", 0) >= 500
+        return NO_SLOT if failed else found
+
+    Pipeline._conclude = staticmethod(conclude_not_run)
+
+
+def believe_answers() -> None:
+    """Take any answer for that of the request."""
+    judge = forwarding.Forwarder._judge
+
+    def judge_any(self, order, response, body):
+        sent = order.headers.get(self._request_id)
+        order.headers[self._request_id] = response.headers.get(self._request_id, "")
+        found = judge(self, order, response, body)
+        order.headers[self._request_id] = sent
+        return found
+
+    forwarding.Forwarder._judge = judge_any
+
+
+def pass_keys() -> None:
+    """Show the caller's key to upstreams."""
+    build = headers.build_upstream_headers
+
+    def build_with_key(given, *arguments):
+        built = build(given, *arguments)
+        built["Authorization"] = given.get("Authorization", "")
+        return built
+
+    headers.build_upstream_headers = build_with_key
+
+
+def trust_old_keys() -> None:
+    """Accept keys however long ago the configuration was confirmed."""
+    pipeline.FRESH_PART = 1000.0
+
+
+def ignore_rates() -> None:
+    """Admit every request."""
+
+    async def acquire(self, team, seconds):
+        return TokenGiven(0.0)
+
+    Admission.acquire = acquire
+
+
+def ignore_draining() -> None:
+    """Use upstreams that leave until their entry is gone."""
+    announce = Directory.announce
+
+    def announce_ready(self, item, now):
+        announce(self, replace(item, state=State.READY), now)
+
+    Directory.announce = announce_ready
+
+
+def stop_at_once() -> None:
+    """End the process without waiting for its requests."""
+
+    async def stop(self):
+        os._exit(0)
+
+    Daemon.stop = stop
+
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    item.__name__: item
+    for item in (
+        repeat_orders,
+        refuse_after_runs,
+        believe_answers,
+        pass_keys,
+        trust_old_keys,
+        ignore_rates,
+        ignore_draining,
+        stop_at_once,
+    )
+}
+
+
+def main() -> int:
+    """Switch the named mechanism off and run the gateway."""
+    VARIANTS[sys.argv[1]]()
+    return adapter.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -0,0 +1,255 @@
+"""The processes, stand-ins and proxies of one soak."""
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from shallotspindle_adapter.documents import ANNOUNCEMENT_PREFIX
+from shallotspindle_adapter.main import SETTINGS_VARIABLE
+from shallotspindle_adapter.settings import HEADERS, READINESS_PATH
+from shallotspindle_core.clock import Clock
+from shallotspindle_gateway.records import Bounds
+from shallotspindle_soak.callers import Caller, Identity, Target
+from shallotspindle_soak.proxies import Proxy
+from shallotspindle_soak.records import History, Span
+from shallotspindle_soak.upstreams import Upstream
+from shallotspindle_standin import documents
+from shallotspindle_standin.documents import RoutePlan, TeamPlan
+from shallotspindle_standin.store import StoreStandin
+
+PROGRAM = "shallotspindle_adapter.main"
+HOST = "soak.example"
+SERVICE = "catalogue"
+DOMAINS = ("a", "b")
+CALLERS_PORT = 8689
+READINESS_PORT = 8687
+BOUNDS = Bounds(stop_seconds=3.0, retry_slack=56, rate_window_seconds=5.0)
+READY_SECONDS = 30.0
+POLL_SECONDS = 0.05
+WITHDRAWN_PART = 0.15
+TEAMS = (
+    TeamPlan("harbour", ("harbour-0",), 60.0, 60.0),
+    TeamPlan("museum", ("museum-0",), 60.0, 60.0),
+    TeamPlan("kiosk", ("kiosk-0",), 5.0, 5.0),
+    # Without a limit, so that only the age of the configuration stops its keys.
+    TeamPlan("guild", ("guild-0",), 0.0, 0.0),
+)
+
+
+@dataclass(slots=True)
+class Gateway:
+    """One gateway process with its own way to the store.
+
+    :param lock: held while the process is replaced.
+    """
+
+    name: str
+    ip: str
+    settings: Path
+    log: Path
+    store: Proxy
+    process: asyncio.subprocess.Process | None = None
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process exists and was not killed."""
+        return self.process is not None and self.process.returncode is None
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this soak started."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+
+@dataclass(slots=True)
+class Reached:
+    """An upstream with the proxy that leads to it."""
+
+    upstream: Upstream
+    proxy: Proxy
+    domain: str
+    address: str
+
+
+class Fleet:
+    """Owns everything that a soak starts.
+
+    :param folder: for settings and logs.
+    :param program: module that a gateway process runs, with its arguments.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        clock: Clock,
+        random: Random,
+        program: tuple[str, ...] = (PROGRAM,),
+    ) -> None:
+        self.history = History()
+        self.clock = clock
+        self.random = random
+        self.store = StoreStandin(clock)
+        self.gateways: list[Gateway] = []
+        self.upstreams: list[Reached] = []
+        self._folder = folder
+        self._program = program
+        self._teams = {team.name: team for team in TEAMS}
+        self._withdrawn: list[Identity] = []
+        self._version = 0
+        self._callers: list[asyncio.Task[None]] = []
+        self.history.limits = {t.name: (t.rate, t.burst) for t in TEAMS if t.rate}
+
+    async def start(self, gateways: int, upstreams: int, callers: int) -> None:
+        """Start everything and wait until all gateways are ready."""
+        self._store_address = await self.store.start()
+        self.configure()
+        for _ in range(upstreams):
+            await self.add_upstream()
+        network = f"127.{self.random.randrange(60, 250)}.{os.getpid() % 250}"
+        for number in range(gateways):
+            self.gateways.append(await self._build_gateway(network, number))
+        await asyncio.gather(*(self.start_gateway(item) for item in self.gateways))
+        await asyncio.gather(*(self.await_ready(item) for item in self.gateways))
+        targets = [Target(g.name, f"{g.ip}:{CALLERS_PORT}") for g in self.gateways]
+        for number in range(callers):
+            self._start_caller(targets, TEAMS[number % len(TEAMS)].name)
+
+    def _start_caller(self, targets: list[Target], team: str) -> None:
+        caller = Caller(
+            targets,
+            lambda: self._identify(team),
+            0.1,
+            HEADERS,
+            self.history,
+            self.clock,
+            Random(self.random.random()),
+        )
+        self._callers.append(asyncio.create_task(caller.run()))
+
+    def _identify(self, team: str) -> Identity:
+        own = [item for item in self._withdrawn if item.team == team]
+        if own and self.random.random() < WITHDRAWN_PART:
+            return self.random.choice(own)
+        return Identity(team, self._teams[team].keys[-1])
+
+    async def _build_gateway(self, network: str, number: int) -> Gateway:
+        name, ip = f"gateway-{number}", f"{network}.{number + 1}"
+        proxy = Proxy(*self._store_address)
+        address = await proxy.start()
+        ports = (CALLERS_PORT, READINESS_PORT)
+        domain = DOMAINS[number % len(DOMAINS)]
+        settings = self._folder / f"{name}.json"
+        document = documents.build_settings(name, domain, ip, ports, address, BOUNDS)
+        settings.write_bytes(document)
+        return Gateway(name, ip, settings, self._folder / f"{name}.log", proxy)
+
+    async def start_gateway(self, gateway: Gateway) -> None:
+        """Start the process of a gateway."""
+        environment = {**os.environ, SETTINGS_VARIABLE: str(gateway.settings)}
+        with gateway.log.open("ab") as log:
+            gateway.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *self._program,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def await_ready(self, gateway: Gateway) -> bool:
+        """Wait until a gateway says that it is ready; return whether it did."""
+        url = f"http://{gateway.ip}:{READINESS_PORT}{READINESS_PATH}"
+        until = self.clock.boottime() + READY_SECONDS
+        async with aiohttp.ClientSession() as session:
+            while self.clock.boottime() < until and gateway.is_running:
+                try:
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            return True
+                except aiohttp.ClientError:
+                    # The process is still starting.
+                    await asyncio.sleep(POLL_SECONDS)
+                await asyncio.sleep(POLL_SECONDS)
+        return False
+
+    async def add_upstream(self) -> Reached:
+        """Start an upstream and announce it."""
+        number = len(self.upstreams)
+        upstream = Upstream(f"u{number}", HEADERS, self.history, self.clock)
+        proxy = Proxy(*await upstream.start())
+        address = await proxy.start()
+        reached = Reached(upstream, proxy, DOMAINS[number % len(DOMAINS)], address)
+        self.upstreams.append(reached)
+        self.announce(reached, "ready")
+        return reached
+
+    def announce(self, reached: Reached, state: str) -> None:
+        """Write the entry of an upstream."""
+        key, value = documents.build_announcement(
+            reached.upstream.name, SERVICE, reached.address, reached.domain, state
+        )
+        self.store.put(key, value)
+
+    def drain(self, reached: Reached) -> None:
+        """Announce that an upstream leaves."""
+        self.announce(reached, "draining")
+        self.history.drained[reached.upstream.name] = self.clock.boottime()
+
+    def remove(self, reached: Reached) -> None:
+        """Remove the entry of an upstream that has left."""
+        self.store.remove(ANNOUNCEMENT_PREFIX + reached.upstream.name)
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self._version += 1
+        timeout = 1.4 + 0.1 * (self._version % 3)
+        routes = (
+            RoutePlan("reads", "/reads/", SERVICE, True, timeout),
+            RoutePlan("orders", "/orders/", SERVICE, False, timeout),
+        )
+        teams = tuple(self._teams.values())
+        key, value = documents.build_configuration(self._version, routes, teams, HOST)
+        self.store.put(key, value)
+
+    def withdraw(self, target: int) -> None:
+        """Replace the key of a team."""
+        name = TEAMS[target % len(TEAMS)].name
+        team = self._teams[name]
+        old = team.keys[-1]
+        new = f"{name}-{self._version + 1}"
+        self._teams[name] = TeamPlan(name, (new,), team.rate, team.burst)
+        self.configure()
+        self.history.withdrawn[old] = self.clock.boottime()
+        self._withdrawn.append(Identity(name, old))
+
+    def note_disturbed(self, gateway: str, started: float) -> None:
+        """Report that a fault at a gateway, or at all, is over."""
+        span = Span(started, self.clock.boottime())
+        self.history.disturbed.setdefault(gateway, []).append(span)
+
+    async def stop_callers(self) -> None:
+        """End the callers between two requests or in one."""
+        for task in self._callers:
+            task.cancel()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """End every process and socket of the soak."""
+        await self.stop_callers()
+        for gateway in self.gateways:
+            if gateway.is_running:
+                gateway.send_signal(signal.SIGCONT)
+                gateway.send_signal(signal.SIGKILL)
+                await gateway.process.wait()
+            await gateway.store.stop()
+        for reached in self.upstreams:
+            await reached.proxy.stop()
+            await reached.upstream.stop()
+        await self.store.stop()
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -0,0 +1,181 @@
+"""Does to a fleet what the drawn faults say."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+
+from shallotspindle_soak.faults import Event, Fault
+from shallotspindle_soak.fleet import Fleet, Gateway, Reached
+from shallotspindle_soak.records import Span
+from shallotspindle_soak.upstreams import Mode
+
+RESTART_SECONDS = 0.3
+DRAINED_SECONDS = 3.0
+SLOW_STORE_SECONDS = 0.2
+DELAY_SECONDS = 0.15
+LOST_PART = 0.3
+MODES = {
+    Fault.HANG: Mode.HANG,
+    Fault.ERRORS: Mode.ERRORS,
+    Fault.BREAK: Mode.BREAK,
+    Fault.CROSS: Mode.CROSS,
+}
+Injector = Callable[[Event], Awaitable[None]]
+
+
+class Injection:
+    """Runs each fault as a task of its own, so that faults overlap."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._tasks: list[asyncio.Task[None]] = []
+        self._injectors: dict[Fault, Injector] = {
+            Fault.PAUSE: self._pause,
+            Fault.KILL: self._kill,
+            Fault.STOP: self._stop,
+            Fault.HANGUP: self._hang_up,
+            Fault.STORE_AWAY: self._harm_store,
+            Fault.STORE_SLOW: self._harm_store,
+            Fault.STORE_LOSES: self._harm_store,
+            Fault.STORE_FORGETS: self._forget,
+            Fault.CUT: self._cut,
+            Fault.CUT_ONE_WAY: self._cut_upstream,
+            Fault.RESET: self._reset,
+            Fault.DELAY: self._delay,
+            Fault.DRAIN: self._drain,
+            Fault.WITHDRAW: self._withdraw,
+            Fault.CHANGE: self._change,
+            **dict.fromkeys(MODES, self._turn_gray),
+        }
+
+    async def play(self, events: list[Event]) -> None:
+        """Inject the events at their times and wait until all are over."""
+        started = self._fleet.clock.boottime()
+        for event in events:
+            passed = self._fleet.clock.boottime() - started
+            await asyncio.sleep(max(0.0, event.at - passed))
+            logging.info("%s", event)
+            injected = self._injectors[event.fault](event)
+            self._tasks.append(asyncio.create_task(injected))
+        await asyncio.gather(*self._tasks)
+        self._fleet.history.quiet_from = self._fleet.clock.boottime()
+
+    def _find_gateway(self, event: Event) -> Gateway:
+        gateways = self._fleet.gateways
+        return gateways[event.target % len(gateways)]
+
+    def _find_upstream(self, event: Event) -> Reached | None:
+        drained = self._fleet.history.drained
+        live = [r for r in self._fleet.upstreams if r.upstream.name not in drained]
+        return live[event.target % len(live)] if live else None
+
+    async def _pause(self, event: Event) -> None:
+        gateway = self._find_gateway(event)
+        started = self._fleet.clock.boottime()
+        gateway.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(event.seconds)
+        gateway.send_signal(signal.SIGCONT)
+        self._fleet.note_disturbed(gateway.name, started)
+
+    async def _kill(self, event: Event) -> None:
+        gateway = self._find_gateway(event)
+        async with gateway.lock:
+            started = self._fleet.clock.boottime()
+            gateway.send_signal(signal.SIGKILL)
+            await gateway.process.wait()
+            await asyncio.sleep(RESTART_SECONDS)
+            await self._fleet.start_gateway(gateway)
+            await self._fleet.await_ready(gateway)
+            self._fleet.note_disturbed(gateway.name, started)
+
+    async def _stop(self, event: Event) -> None:
+        gateway = self._find_gateway(event)
+        async with gateway.lock:
+            started = self._fleet.clock.boottime()
+            gateway.send_signal(signal.SIGTERM)
+            await gateway.process.wait()
+            span = Span(started, self._fleet.clock.boottime())
+            self._fleet.history.stopped.setdefault(gateway.name, []).append(span)
+            await self._fleet.start_gateway(gateway)
+            await self._fleet.await_ready(gateway)
+
+    async def _hang_up(self, event: Event) -> None:
+        self._find_gateway(event).send_signal(signal.SIGHUP)
+
+    async def _harm_store(self, event: Event) -> None:
+        faults = self._fleet.store.faults
+        started = self._fleet.clock.boottime()
+        faults.is_away = faults.is_away or event.fault is Fault.STORE_AWAY
+        if event.fault is Fault.STORE_SLOW:
+            faults.delay = SLOW_STORE_SECONDS
+        if event.fault is Fault.STORE_LOSES:
+            faults.lost_part = LOST_PART
+        await asyncio.sleep(event.seconds)
+        faults.is_away = False
+        faults.delay = faults.lost_part = 0.0
+        self._fleet.note_disturbed("", started)
+
+    async def _forget(self, event: Event) -> None:
+        self._fleet.store.forget_history()
+
+    async def _cut(self, event: Event) -> None:
+        gateway = self._find_gateway(event)
+        started = self._fleet.clock.boottime()
+        gateway.store.harm.cuts_up = gateway.store.harm.cuts_down = True
+        await asyncio.sleep(event.seconds)
+        gateway.store.harm.clear()
+        gateway.store.reset()
+        self._fleet.note_disturbed(gateway.name, started)
+
+    async def _cut_upstream(self, event: Event) -> None:
+        reached = self._find_upstream(event)
+        if reached is None:
+            return
+        reached.proxy.harm.cuts_down = bool(event.target % 2)
+        reached.proxy.harm.cuts_up = not reached.proxy.harm.cuts_down
+        await asyncio.sleep(event.seconds)
+        reached.proxy.harm.clear()
+        reached.proxy.reset()
+
+    async def _reset(self, event: Event) -> None:
+        reached = self._find_upstream(event)
+        if event.target % 2 and reached is not None:
+            reached.proxy.reset()
+            return
+        gateway = self._find_gateway(event)
+        started = self._fleet.clock.boottime()
+        gateway.store.reset()
+        self._fleet.note_disturbed(gateway.name, started)
+
+    async def _delay(self, event: Event) -> None:
+        reached = self._find_upstream(event)
+        if reached is None:
+            return
+        reached.proxy.harm.delay = DELAY_SECONDS
+        await asyncio.sleep(event.seconds)
+        reached.proxy.harm.delay = 0.0
+
+    async def _turn_gray(self, event: Event) -> None:
+        reached = self._find_upstream(event)
+        if reached is None:
+            return
+        reached.upstream.mode = MODES[event.fault]
+        await asyncio.sleep(event.seconds)
+        reached.upstream.mode = Mode.WHOLE
+
+    async def _drain(self, event: Event) -> None:
+        reached = self._find_upstream(event)
+        if reached is None:
+            return
+        await self._fleet.add_upstream()
+        self._fleet.drain(reached)
+        await asyncio.sleep(DRAINED_SECONDS)
+        self._fleet.remove(reached)
+
+    async def _withdraw(self, event: Event) -> None:
+        self._fleet.withdraw(event.target)
+
+    async def _change(self, event: Event) -> None:
+        self._fleet.configure()
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -0,0 +1,97 @@
+"""Command line of the soak: plays seeds and prints what broke."""
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Annotated
+
+import cyclopts
+from absl import logging
+
+from shallotspindle_core.clock import Clock
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_soak import faults, promises
+from shallotspindle_soak.faults import Event
+from shallotspindle_soak.fleet import PROGRAM, Fleet
+from shallotspindle_soak.injection import Injection
+from shallotspindle_soak.promises import Broken
+from shallotspindle_soak.records import History
+
+GATEWAYS = 4
+UPSTREAMS = 8
+CALLERS = 18
+SETTLE_SECONDS = 2.5
+EXIT_BROKEN = 1
+app = cyclopts.App(name="shallotspindle-soak", help=__doc__)
+
+
+async def play(
+    events: list[Event],
+    seed: int,
+    folder: Path,
+    clock: Clock,
+    program: tuple[str, ...] = (PROGRAM,),
+    rest: float = promises.RECOVERY_SECONDS + SETTLE_SECONDS,
+) -> History:
+    """Play faults against a new fleet and return its history.
+
+    :param rest: time for requests after the last fault, in seconds.
+    """
+    fleet = Fleet(folder, clock, Random(seed), program)
+    try:
+        await fleet.start(GATEWAYS, UPSTREAMS, CALLERS)
+        await asyncio.sleep(SETTLE_SECONDS)
+        await Injection(fleet).play(events)
+        await asyncio.sleep(rest)
+        await fleet.stop_callers()
+    finally:
+        await fleet.stop()
+    return fleet.history
+
+
+def describe(seed: int, history: History, broken: list[Broken], folder: Path) -> str:
+    """Return one line on a seed."""
+    statuses: dict[str, int] = {}
+    for call in history.calls:
+        statuses[str(call.status)] = statuses.get(str(call.status), 0) + 1
+    line = {
+        "seed": seed,
+        "calls": len(history.calls),
+        "runs": len(history.runs),
+        "statuses": dict(sorted(statuses.items())),
+        "broken": [[b.promise, b.request_id, b.detail] for b in broken[:10]],
+        "logs": str(folder) if broken else "",
+    }
+    return json.dumps(line)
+
+
+@app.default
+def run(
+    seeds: list[int],
+    *,
+    seconds: Annotated[float, cyclopts.Parameter(help="time for faults")] = 15.0,
+    gap: Annotated[float, cyclopts.Parameter(help="mean seconds between two")] = 0.7,
+) -> int:
+    """Play seeds one after the other; exit with 1 if a promise broke."""
+    logging.set_verbosity(logging.WARNING)
+    failed = 0
+    for seed in seeds:
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        events = faults.draw(seed, seconds, gap)
+        history = asyncio.run(play(events, seed, folder, SystemClock()))
+        broken = promises.check_all(history)
+        failed += bool(broken)
+        print(describe(seed, history, broken, folder), flush=True)
+    return EXIT_BROKEN if failed else 0
+
+
+def main() -> None:
+    """Run the command."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -0,0 +1,69 @@
+"""Plays short soaks with real processes.
+
+What is asserted does not depend on how fast the machine is: promises hold at any speed,
+and a daemon without a mechanism breaks its promise in every play.
+"""
+
+import asyncio
+
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_soak import faults, main, promises
+from shallotspindle_soak.broken import VARIANTS
+from shallotspindle_soak.faults import Event, Fault
+from shallotspindle_soak.fleet import PROGRAM
+
+BROKEN_PROGRAM = "shallotspindle_soak.broken"
+# Promises that hold however the machine schedules; the others bound times.
+TIMELESS = {"once", "refusal", "answer", "key", "withdrawal", "rate"}
+UNLIMITED_TEAM = 3
+GRAY_KINDS = (Fault.HANG, Fault.BREAK, Fault.CROSS)
+GRAY = [Event(0.0, GRAY_KINDS[n % 3], 4.0, n) for n in range(8)]
+# What brings out the missing mechanism, and the promise that must be seen to break.
+PLAYS = {
+    "repeat_orders": (GRAY, "once"),
+    "refuse_after_runs": (GRAY, "refusal"),
+    "believe_answers": (GRAY, "answer"),
+    "pass_keys": ([], "key"),
+    "trust_old_keys": (
+        [
+            Event(0.0, Fault.STORE_AWAY, 7.0, 0),
+            Event(0.1, Fault.WITHDRAW, 0.0, UNLIMITED_TEAM),
+        ],
+        "withdrawal",
+    ),
+    "ignore_rates": ([], "rate"),
+    "ignore_draining": ([Event(0.0, Fault.DRAIN, 0.0, 0)], "drain"),
+    "stop_at_once": (
+        [Event(0.2 * n, Fault.STOP, 0.0, n) for n in range(4)],
+        "stop",
+    ),
+}
+
+
+async def play(events, seed, folder, *, program=(PROGRAM,), rest=1.0):
+    history = await main.play(events, seed, folder, SystemClock(), program, rest)
+    return {broken.promise for broken in promises.check_all(history)}, history
+
+
+class TestSeeds:
+    async def test_the_promises_hold_under_drawn_faults(self, tmp_path):
+        events = faults.draw(1, 6.0, 0.5)
+        broken, history = await play(events, 1, tmp_path, rest=4.0)
+        assert not broken & TIMELESS
+        assert any(call.status == 200 for call in history.calls)
+
+
+class TestBrokenDaemons:
+    async def test_each_missing_mechanism_is_noticed(self, tmp_path):
+        # Guards against checks that pass whatever the daemon does.
+        async def play_variant(seed, name):
+            folder = tmp_path / name
+            folder.mkdir()
+            events, promise = PLAYS[name]
+            program = (BROKEN_PROGRAM, name)
+            broken, _ = await play(events, seed, folder, program=program)
+            return name if promise not in broken else None
+
+        plays = (play_variant(seed, name) for seed, name in enumerate(VARIANTS))
+        missed = [name for name in await asyncio.gather(*plays) if name]
+        assert not missed
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -0,0 +1,177 @@
+"""Checks of the promises, as pure functions over the history of a soak.
+
+Each check returns the broken cases as records; the bounds are those that a deployment
+states, not what was measured.
+"""
+
+import bisect
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from shallotspindle_soak.records import Call, History, Kind, Run
+
+# Bounds of the deployments of today, in seconds.
+KEY_SECONDS = 5.0
+DRAIN_SECONDS = 2.0
+WINDOW_SECONDS = 5.0
+# How far the clocks of a send and of its run may lie apart on one machine.
+CLOCK_SLACK_SECONDS = 0.1
+# After a fault, bounds in time hold again.
+STABLE_SECONDS = 3.0
+OVERAGE_PART = 0.1
+# A caller hears of the end of a process shortly after it.
+EXIT_SECONDS = 0.5
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+RECOVERY_SECONDS = 6.0
+LEAST_RECOVERED_PART = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that did not hold.
+
+    :param promise: name of the check.
+    """
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+def find_runs(history: History) -> dict[str, list[Run]]:
+    """Return the runs by request."""
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        runs[run.request_id].append(run)
+    return runs
+
+
+def check_once(history: History) -> Iterator[Broken]:
+    """An order runs at most once."""
+    runs = find_runs(history)
+    for call in history.calls:
+        if call.kind is Kind.ORDER and len(runs[call.request_id]) > 1:
+            names = ", ".join(run.upstream for run in runs[call.request_id])
+            yield Broken("once", call.request_id, f"ran at {names}")
+
+
+def check_refusals(history: History) -> Iterator[Broken]:
+    """What was refused as not run did not run."""
+    runs = find_runs(history)
+    for call in history.calls:
+        refused = call.status in NOT_RUN_STATUSES and call.kind is Kind.ORDER
+        if refused and runs[call.request_id]:
+            yield Broken("refusal", call.request_id, f"{call.status} after a run")
+
+
+def check_answers(history: History) -> Iterator[Broken]:
+    """A success is the whole answer to the request that asked for it."""
+    for call in history.calls:
+        if not call.is_right:
+            yield Broken("answer", call.request_id, "another or a partial answer")
+
+
+def check_keys(history: History) -> Iterator[Broken]:
+    """No key reaches an upstream, and each run is for the team of its key."""
+    calls = {call.request_id: call for call in history.calls}
+    for run in history.runs:
+        call = calls.get(run.request_id)
+        if run.key_seen:
+            yield Broken("key", run.request_id, "an upstream saw the key")
+        if call is None or run.team != call.team:
+            yield Broken("key", run.request_id, f"ran for team {run.team!r}")
+
+
+def check_withdrawals(history: History) -> Iterator[Broken]:
+    """A withdrawn key stops working in time, whatever is cut."""
+    runs = find_runs(history)
+    for call in history.calls:
+        withdrawn_at = history.withdrawn.get(call.key)
+        if withdrawn_at is None or not runs[call.request_id]:
+            continue
+        late = call.sent_at - withdrawn_at
+        if late > KEY_SECONDS + CLOCK_SLACK_SECONDS:
+            yield Broken("withdrawal", call.request_id, f"ran {late:.1f} s after it")
+
+
+def check_rates(history: History) -> Iterator[Broken]:
+    """No team runs more than its limit in any window, over all gateways."""
+    at: dict[str, list[float]] = defaultdict(list)
+    for run in history.runs:
+        at[run.team].append(run.at)
+    for team, (rate, burst) in history.limits.items():
+        times = sorted(at[team])
+        allowed = (rate * WINDOW_SECONDS + burst) * (1 + OVERAGE_PART)
+        for index, start in enumerate(times):
+            end = bisect.bisect(times, start + WINDOW_SECONDS)
+            if end - index > allowed:
+                detail = (
+                    f"{team}: {end - index} runs in a window, {allowed:.0f} allowed"
+                )
+                yield Broken("rate", "", detail)
+                break
+
+
+def check_drains(history: History) -> Iterator[Broken]:
+    """A leaving upstream gets no new work after some seconds."""
+    gateways = {call.request_id: call.gateway for call in history.calls}
+    for run in history.runs:
+        drained_at = history.drained.get(run.upstream)
+        if drained_at is None or run.at <= drained_at + DRAIN_SECONDS:
+            continue
+        gateway = gateways.get(run.request_id, "")
+        if not history.is_disturbed(gateway, run.at, STABLE_SECONDS):
+            late = run.at - drained_at
+            yield Broken("drain", run.request_id, f"{late:.1f} s after {run.upstream}")
+
+
+def check_stops(history: History) -> Iterator[Broken]:
+    """A planned stop cuts no request that an upstream was given."""
+    runs = find_runs(history)
+    for call in history.calls:
+        if call.status or not runs[call.request_id]:
+            continue
+        spans = history.stopped.get(call.gateway, ())
+        in_stop = any(span.covers(call.ended_at, EXIT_SECONDS) for span in spans)
+        if in_stop and not _is_excused(history, call):
+            yield Broken("stop", call.request_id, f"cut at {call.gateway}")
+
+
+def _is_excused(history: History, call: Call) -> bool:
+    moments = (call.sent_at, call.ended_at)
+    return any(history.is_disturbed(call.gateway, at, STABLE_SECONDS) for at in moments)
+
+
+def check_recovery(history: History) -> Iterator[Broken]:
+    """Some seconds after the last fault requests are served again."""
+    since = history.quiet_from + RECOVERY_SECONDS
+    late = [
+        call
+        for call in history.calls
+        if call.sent_at >= since
+        and call.key not in history.withdrawn
+        and call.status != 429
+    ]
+    served = sum(call.status == 200 for call in late)
+    if late and served < LEAST_RECOVERED_PART * len(late):
+        yield Broken("recovery", "", f"{served} of {len(late)} served")
+
+
+Check = Callable[[History], Iterator[Broken]]
+CHECKS: tuple[Check, ...] = (
+    check_once,
+    check_refusals,
+    check_answers,
+    check_keys,
+    check_withdrawals,
+    check_rates,
+    check_drains,
+    check_stops,
+    check_recovery,
+)
+
+
+def check_all(history: History) -> list[Broken]:
+    """Return every broken case of all promises."""
+    return [broken for check in CHECKS for broken in check(history)]
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -0,0 +1,77 @@
+from dataclasses import replace
+
+import pytest
+
+from shallotspindle_soak import promises
+from shallotspindle_soak.records import Call, History, Kind, Run, Span
+
+ORDER = Call("r1", Kind.ORDER, "museum", "k1", "g1", 10.0, 10.2, 200)
+RUN = Run("r1", "u1", "museum", key_seen=False, at=10.1)
+
+
+def build(call: Call = ORDER, *runs: Run, **parts) -> History:
+    defaults = {"quiet_from": 100.0}
+    return History(calls=[replace(call)], runs=list(runs), **(defaults | parts))
+
+
+def list_broken(history: History) -> list[str]:
+    return [broken.promise for broken in promises.check_all(history)]
+
+
+class TestHarmless:
+    def test_a_request_that_ran_once_and_was_answered_breaks_nothing(self):
+        assert list_broken(build(ORDER, RUN)) == []
+
+
+class TestChecks:
+    """Each check must notice the one thing that it is for."""
+
+    def test_two_runs_of_an_order(self):
+        second = replace(RUN, upstream="u2")
+        assert list_broken(build(ORDER, RUN, second)) == ["once"]
+
+    def test_two_runs_of_a_read_are_allowed(self):
+        read = replace(ORDER, kind=Kind.READ)
+        assert list_broken(build(read, RUN, replace(RUN, upstream="u2"))) == []
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_a_refusal_of_what_ran(self, status):
+        assert list_broken(build(replace(ORDER, status=status), RUN)) == ["refusal"]
+
+    def test_a_wrong_answer(self):
+        assert list_broken(build(replace(ORDER, is_right=False), RUN)) == ["answer"]
+
+    def test_a_key_that_an_upstream_saw(self):
+        assert list_broken(build(ORDER, replace(RUN, key_seen=True))) == ["key"]
+
+    def test_a_run_for_another_team(self):
+        assert list_broken(build(ORDER, replace(RUN, team="kiosk"))) == ["key"]
+
+    def test_a_withdrawn_key_even_while_everything_is_cut(self):
+        history = build(ORDER, RUN, withdrawn={"k1": 4.0})
+        history.disturbed[""] = [Span(0.0, 60.0)]
+        assert list_broken(history) == ["withdrawal"]
+
+    def test_a_key_that_was_withdrawn_just_before(self):
+        assert list_broken(build(ORDER, RUN, withdrawn={"k1": 6.0})) == []
+
+    def test_more_runs_than_a_limit_in_one_window(self):
+        runs = [replace(RUN, request_id="r1", at=10 + n / 100) for n in range(30)]
+        read = replace(ORDER, kind=Kind.READ)
+        history = build(read, *runs, limits={"museum": (2.0, 5.0)})
+        assert list_broken(history) == ["rate"]
+
+    def test_work_for_an_upstream_that_left(self):
+        history = build(ORDER, RUN, drained={"u1": 7.0})
+        assert list_broken(history) == ["drain"]
+        history.disturbed["g1"] = [Span(9.0, 9.5)]
+        assert list_broken(history) == []
+
+    def test_a_request_cut_by_a_planned_stop(self):
+        cut = replace(ORDER, status=0)
+        history = build(cut, RUN, stopped={"g1": [Span(9.0, 12.0)]})
+        assert list_broken(history) == ["stop"]
+
+    def test_a_fleet_that_does_not_come_back(self):
+        failed = replace(ORDER, status=503)
+        assert list_broken(build(failed, quiet_from=1.0)) == ["recovery"]
