Let strong members take roles and compress long datagrams

Watchers, lenders and holders of rates were drawn without regard to links that differ by a factor of 40 (5 to 200 Mbit/s); one watcher sends each change of the configuration to 24 neighbours.

Change: members state the capacity of their link; those with half of the largest or more take roles first (election.py). Datagrams from 1,200 bytes on are compressed.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -79,7 +79,7 @@
         readiness = bind_stream(settings.readiness)
         metrics = bind_stream(settings.metrics)
         self.peers = Peers(bind_datagram(settings.peers), messages.MESSAGE_TYPES)
-        own = Member(self.peers.address, settings.domain)
+        own = Member(self.peers.address, settings.domain, settings.capacity)
         self.follower = Follower(own, store, decoder, self.peers, clock)
         renewals = Renewals(store, self.follower, self.peers)
         self.rights = Rights(
--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/election.py
@@ -0,0 +1,26 @@
+"""Which members take a role for the others: watching, lending, holding rates.
+
+Instances of one fleet may differ by a factor of 40 in the capacity of their links. A
+role costs its holder traffic from the whole domain, so that strong instances come
+first; among equals the order is that of the rendezvous hash.
+"""
+
+from collections.abc import Iterable
+
+from shallotspindle_core import hashing
+from shallotspindle_gateway.records import Member
+
+# Part of the largest capacity from which a member counts as strong.
+STRONG_PART = 0.5
+
+
+def rank_members(role: str, members: Iterable[Member]) -> list[str]:
+    """Return the addresses of members in the order in which they take a role."""
+    found = set(members)
+    largest = max((member.capacity for member in found), default=0.0)
+    strong = {m.address for m in found if m.capacity >= STRONG_PART * largest}
+    others = {member.address for member in found} - strong
+    return [
+        *hashing.rank_rendezvous(role, strong),
+        *hashing.rank_rendezvous(role, others),
+    ]
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -21,6 +21,7 @@
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway.changelog import ChangeLog, Standpoint
+from shallotspindle_gateway.election import rank_members
 from shallotspindle_gateway.messages import ChangesAsked, ChangesTold
 from shallotspindle_gateway.peers import Peers
 from shallotspindle_gateway.records import NO_DEPLOYMENT, Deployment, Member
@@ -205,10 +206,15 @@
         :param domain: the failure domain; None for that of this instance.
         """
         domain = domain or self._own.domain
-        addresses = {m.address for m in self.members.values() if m.domain == domain}
-        if domain == self._own.domain:
-            addresses.add(self._own.address)
-        return hashing.rank_rendezvous("watcher", addresses)[:WATCHER_COUNT]
+        ranked = rank_members("watcher", self.list_members(domain))
+        return ranked[:WATCHER_COUNT]
+
+    def list_members(self, domain: FailureDomain) -> list[Member]:
+        """Return the instances of a failure domain, this one among its own."""
+        found = [m for m in self.members.values() if m.domain == domain]
+        if domain == self._own.domain and self._own not in found:
+            found.append(self._own)
+        return found
 
     def _list_stand_ins(self) -> list[str]:
         """Return watchers of other domains, in an order of this instance's own."""
@@ -304,11 +310,11 @@
 
     def _learn_member(self, item: Stored) -> None:
         try:
-            address, domain = json.loads(item.value)
+            address, domain, capacity = json.loads(item.value)
         except ValueError as error:
             logging.warning("the member %s was ignored: %s", item.key, error)
             return
-        self.members[item.key] = Member(address, FailureDomain(domain))
+        self.members[item.key] = Member(address, FailureDomain(domain), capacity)
 
     def _learn_configuration(self, document: bytes) -> None:
         match self._decoder.decode_configuration(document):
--- a/libraries/gateway/shallotspindle_gateway/lending.py
+++ b/libraries/gateway/shallotspindle_gateway/lending.py
@@ -14,10 +14,10 @@
 from absl import logging
 from aiomisc import Service
 
-from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway.election import rank_members
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.lines import LineBudget
 from shallotspindle_gateway.peers import Peers, Unanswered
@@ -294,11 +294,8 @@
 
     def _rank_members(self, service: ServiceName, domain: FailureDomain) -> list[str]:
         """Return the instances of a domain in the order in which they lend."""
-        members = self._follower.members.values()
-        addresses = {m.address for m in members if m.domain == domain}
-        if domain == self._own.domain:
-            addresses.add(self._own.address)
-        return hashing.rank_rendezvous(f"lender {service}", addresses)
+        members = self._follower.list_members(domain)
+        return rank_members(f"lender {service}", members)
 
     def _is_silent(self, lender: str, now: float) -> bool:
         silence = self._silences.get(lender)
--- a/libraries/gateway/shallotspindle_gateway/peers.py
+++ b/libraries/gateway/shallotspindle_gateway/peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import socket
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -22,6 +23,31 @@
 NumberedHandler = Callable[[str, Any], Any]
 
 
+# Datagrams of several packets are compressed: links of 5 Mbit/s carry the changes of
+# the configuration for a whole failure domain.
+COMPRESSED_FROM_BYTES = 1200
+LARGEST_BYTES = 256 * 1024
+# First byte of a zlib stream; no envelope begins with it.
+COMPRESSED_MARK = b"\x78"
+
+
+def compress(data: bytes) -> bytes:
+    """Return what goes over the network for an envelope."""
+    if len(data) < COMPRESSED_FROM_BYTES:
+        return data
+    return zlib.compress(data, level=1)
+
+
+def decompress(data: bytes) -> bytes:
+    """Return the envelope of a datagram; a damaged one comes back as it is."""
+    if data[:1] != COMPRESSED_MARK:
+        return data
+    try:
+        return zlib.decompressobj().decompress(data, LARGEST_BYTES)
+    except zlib.error:
+        return data
+
+
 class Unanswered(Failure):
     """A peer did not answer in time; the question may have arrived."""
 
@@ -116,10 +142,11 @@
         if self._transport is None or self._transport.is_closing():
             return
         host, _, port = address.rpartition(":")
-        self._transport.sendto(self._outer.encode(envelope), (host, int(port)))
+        data = compress(self._outer.encode(envelope))
+        self._transport.sendto(data, (host, int(port)))
 
     def _receive(self, data: bytes, source: tuple[str, int]) -> None:
-        decoded = self._outer.decode(data)
+        decoded = self._outer.decode(decompress(data))
         if decoded.is_error():
             logging.warning("a datagram was ignored: %s", decoded.error)
             return
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -60,10 +60,12 @@
     """An instance as the store lists it.
 
     :param address: ``ip:port`` of its socket for other instances.
+    :param capacity: capacity of its link, in Mbit/s.
     """
 
     address: str
     domain: FailureDomain
+    capacity: float = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +106,7 @@
     :param peers: address for other instances.
     :param metrics: address of the metrics.
     :param readiness_path: path of the readiness checks.
+    :param capacity: capacity of the instance's link, in Mbit/s.
     """
 
     name: str
@@ -113,5 +116,6 @@
     peers: Endpoint
     metrics: Endpoint
     readiness_path: str = "/ready"
+    capacity: float = 1000.0
     bounds: Bounds = Bounds()
     headers: HeaderNames = HeaderNames()
