--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -156,6 +156,9 @@
             case Result(tag="ok", ok=Changes() as changes):
                 if self._note_store(asked_at):
                     return await self._read_all()
+                if not changes.events and changes.revision > self._log.revision:
+                    logging.info("the watch passed over changes, read all values")
+                    return await self._read_all()
                 self._apply(changes)
                 if changes.events:
                     await asyncio.sleep(PAUSE_SECONDS)
--- a/libraries/registry/shallotspindle_registry/directory.py
+++ b/libraries/registry/shallotspindle_registry/directory.py
@@ -27,6 +27,9 @@
     missing_since: float | None = None
 
 
+Usable = Mapping[UpstreamName, Known]
+
+
 class Directory:
     """Upstreams by name; the store is the only source of changes."""
 
@@ -34,6 +37,9 @@
         self._known: dict[UpstreamName, Known] = {}
         self._trusted_from = float("-inf")
         self.version = 0
+        # Answers of this version, since each request asks for them.
+        self._answered = 0
+        self._usable: dict[tuple[ServiceName, FailureDomain | None], Usable] = {}
 
     def note_outage_end(self, now: float) -> None:
         """Report that the store answers again after it was away."""
@@ -88,11 +94,20 @@
 
     def list_usable(
         self, service: ServiceName, domain: FailureDomain | None = None
-    ) -> Mapping[UpstreamName, Known]:
+    ) -> Usable:
         """Return the upstreams of a service that may get new work.
 
         :param domain: restricts the result to one failure domain.
         """
+        if self._answered != self.version:
+            self._usable.clear()
+            self._answered = self.version
+        asked = (service, domain)
+        if asked not in self._usable:
+            self._usable[asked] = self._select(service, domain)
+        return self._usable[asked]
+
+    def _select(self, service: ServiceName, domain: FailureDomain | None) -> Usable:
         return {
             name: known
             for name, known in self._known.items()
--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -19,6 +19,7 @@
 from shallotspindle_soak.injection import Injection
 from shallotspindle_soak.promises import Broken
 from shallotspindle_soak.records import History
+from shallotspindle_soak.regressions import REGRESSIONS
 
 GATEWAYS = 4
 UPSTREAMS = 8
@@ -70,15 +71,18 @@
 
 @app.default
 def run(
-    seeds: list[int],
+    seeds: list[int] | None = None,
     *,
     seconds: Annotated[float, cyclopts.Parameter(help="time for faults")] = 15.0,
     gap: Annotated[float, cyclopts.Parameter(help="mean seconds between two")] = 0.7,
 ) -> int:
-    """Play seeds one after the other; exit with 1 if a promise broke."""
+    """Play seeds one after the other; exit with 1 if a promise broke.
+
+    Without seeds those that ever failed are played.
+    """
     logging.set_verbosity(logging.WARNING)
     failed = 0
-    for seed in seeds:
+    for seed in seeds or [item.seed for item in REGRESSIONS]:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         events = faults.draw(seed, seconds, gap)
         history = asyncio.run(play(events, seed, folder, SystemClock()))
--- /dev/null
+++ b/libraries/soak/shallotspindle_soak/regressions.py
@@ -0,0 +1,23 @@
+"""Seeds that ever failed, with their cause; played again with each set of seeds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Regression:
+    """A seed that broke a promise before its cause was mended.
+
+    :param cause: what was wrong in the product.
+    """
+
+    seed: int
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(
+        109,
+        "an instance believed in rights that ended, during an outage of the store, "
+        "before it had heard of its own write",
+    ),
+)
