--- a/libraries/lending/shallotspindle_lending/playing_test.py
+++ b/libraries/bench/shallotspindle_bench/lending_play_test.py
@@ -1,14 +1,14 @@
 from dataclasses import replace
 from random import Random
 
-from shallotspindle_lending.desk import Desk
-from shallotspindle_lending.playing import (
+from shallotspindle_bench.lending_play import (
     Kind,
     Play,
     Tally,
     World,
     build_default,
 )
+from shallotspindle_lending.desk import Desk
 from shallotspindle_lending.standing import Tier
 
 # Rates and times of one failure domain of the deployments of today.
