Let requests wait for the tokens of a new holder

Change: while a right is fresh (2 s) a request waits for its token for up to 0.6 s, at most half of the time that it has. What is admitted stays rate * t. A holder that moves is waited for 0.6 s in place of 0.4 s. TestFreshHolder fails before.

--- a/libraries/gateway/shallotspindle_gateway/admission.py
+++ b/libraries/gateway/shallotspindle_gateway/admission.py
@@ -22,8 +22,11 @@
 ANSWER_SECONDS = 0.1
 # A token that comes this soon is waited for instead of refused.
 LONGEST_WAIT_SECONDS = 0.15
-# A right moves within tens of milliseconds once its lease has ended.
-MOVE_SECONDS = 0.4
+# A holder that has just taken a right has no tokens yet; what came meanwhile waits.
+FRESH_WAIT_SECONDS = 0.6
+# A right moves within tens of milliseconds once its lease has ended; a fleet that
+# starts anew takes its rights one after the other.
+MOVE_SECONDS = 0.6
 MOVE_PAUSE_SECONDS = 0.03
 
 Answer = TokenGiven | TokenDenied | NotHolder
@@ -64,7 +67,7 @@
             return TokenGiven(0.0)
         until = self._clock.boottime() + min(MOVE_SECONDS, seconds)
         while True:
-            answer = await self._ask(TokenAsked(team.name, LONGEST_WAIT_SECONDS))
+            answer = await self._ask(self._build_question(team, seconds))
             if isinstance(answer, TokenGiven):
                 await asyncio.sleep(answer.after_seconds)
                 return answer
@@ -72,6 +75,12 @@
                 return answer
             await asyncio.sleep(MOVE_PAUSE_SECONDS)
 
+    @staticmethod
+    def _build_question(team: Team, seconds: float) -> TokenAsked:
+        """Return the question of a request with some seconds left."""
+        fresh_wait = min(FRESH_WAIT_SECONDS, seconds / 2)
+        return TokenAsked(team.name, LONGEST_WAIT_SECONDS, fresh_wait)
+
     async def _ask(self, asked: TokenAsked) -> Answer:
         holder = self._rights.find_holder(name_right(asked.team))
         if holder is None:
@@ -97,7 +106,9 @@
         if held is None or held[0] != since:
             held = self._buckets[right] = (since, TeamBuckets(since, self._window))
         limit = Limit(team.rate, team.burst)
-        taken = held[1].take(team.name, limit, asked.wait_seconds, now)
+        taken = held[1].take(
+            team.name, limit, asked.wait_seconds, now, asked.fresh_wait_seconds
+        )
         if isinstance(taken, Promise):
             return TokenGiven(taken.after)
         return TokenDenied(taken.retry_after)
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -11,10 +11,12 @@
     """Asks the holder of a team's rate for one token.
 
     :param wait_seconds: how long the asker would wait for the token.
+    :param fresh_wait_seconds: how long if the holder has just taken the right.
     """
 
     team: TeamName
     wait_seconds: float
+    fresh_wait_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/limits/shallotspindle_limits/leased.py
+++ b/libraries/limits/shallotspindle_limits/leased.py
@@ -13,6 +13,8 @@
 from shallotspindle_limits.records import Limit
 
 LONGEST_RETRY_SECONDS = 5.0
+# A new holder has no tokens, and requests of all instances wait for it at once.
+FRESH_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -62,12 +64,20 @@
         self._buckets: dict[TeamName, Bucket] = {}
 
     def take(
-        self, team: TeamName, limit: Limit, longest_wait: float, now: float
+        self,
+        team: TeamName,
+        limit: Limit,
+        longest_wait: float,
+        now: float,
+        fresh_wait: float = 0.0,
     ) -> Promise | Exhausted:
         """Take a token that is there, or comes within a wait.
 
         :param longest_wait: how long the request can wait, in seconds.
+        :param fresh_wait: how long it can wait while the right is fresh, in seconds.
         """
+        if now - self._since < FRESH_SECONDS:
+            longest_wait = max(longest_wait, fresh_wait)
         if self._window is not None:
             limit = spread_burst(limit, self._window)
         bucket = self._buckets.setdefault(team, Bucket(0.0, self._since))
--- a/libraries/limits/shallotspindle_limits/leased_test.py
+++ b/libraries/limits/shallotspindle_limits/leased_test.py
@@ -71,3 +71,39 @@
             return sum(isinstance(item, Promise) for item in taken)
 
         assert count(5.0) > count(None) + 5
+
+
+class TestFreshHolder:
+    LIMIT = Limit(10.0, 10.0)
+
+    def test_requests_that_came_meanwhile_wait_for_their_tokens(self):
+        # Guards against refusals within the rate after a whole fleet was restarted.
+        buckets = TeamBuckets(since=100.0)
+        taken = [
+            buckets.take(TEAM, self.LIMIT, 0.15, 100.1, fresh_wait=0.65)
+            for _ in range(9)
+        ]
+        waits = [item.after for item in taken if isinstance(item, Promise)]
+        assert len(waits) == 7
+        assert waits == sorted(waits)
+        assert waits[-1] <= 0.65
+
+    def test_a_settled_holder_does_not_queue_a_team_that_asks_for_too_much(self):
+        buckets = TeamBuckets(since=0.0)
+        taken = [
+            buckets.take(TEAM, self.LIMIT, 0.15, 100.0, fresh_wait=0.6)
+            for _ in range(20)
+        ]
+        waits = [item.after for item in taken if isinstance(item, Promise)]
+        assert max(waits) <= 0.15
+
+    def test_waiting_does_not_raise_the_rate(self):
+        # Guards against promises beyond rate * t, which a new holder must not give.
+        buckets = TeamBuckets(since=0.0)
+        at = []
+        for number in range(100):
+            now = number * 0.02
+            taken = buckets.take(TEAM, self.LIMIT, 0.15, now, fresh_wait=0.6)
+            if isinstance(taken, Promise):
+                at.append(now + taken.after)
+        assert all(at[n] >= (n + 1) / 10.0 - 1e-6 for n in range(len(at)))
