--- a/libraries/entry/shallotspindle_entry/balancing.py
+++ b/libraries/entry/shallotspindle_entry/balancing.py
@@ -21,7 +21,6 @@
     NoCapacity,
     PeerLink,
     RequestHeld,
-    Result,
     Sample,
 )
 from shallotspindle_entry.tasks import Task
@@ -220,7 +219,7 @@
         if sample.draining and name not in self._said_draining:
             self._said_draining[name] = now + DRAINING_SECONDS
             self._mark_leaving()
-        outcome = Outcome(sample.result.value)
+        outcome = sample.result
         decisions = desk.dispatcher.finish(
             assignment.number, outcome, sample.seconds, sample.load, now
         )
@@ -251,7 +250,7 @@
         desk = self._desks.get(served[0]) if served else None
         if desk is not None:
             now = self._clock.boottime()
-            outcome = Outcome(Result.CANCELLED.value)
+            outcome = Outcome.CANCELLED
             self._apply(desk, desk.dispatcher.finish(number, outcome, 0.0, None, now))
 
     def _apply(self, desk: Desk, decisions: list[Decision]) -> None:
--- a/libraries/entry/shallotspindle_entry/bodies.py
+++ b/libraries/entry/shallotspindle_entry/bodies.py
@@ -62,6 +62,7 @@
             failure = SlowCaller("caller", "no part of the body arrived in time")
             raise FailureError(failure) from error
         except Exception:
+            # Whatever ended the body, its upstream is not to blame for it.
             self.failed = True
             raise
         if not chunk and self._content.at_eof():
--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -18,7 +18,8 @@
 from shallotspindle_entry.calls import Call
 from shallotspindle_entry.forwarding import Forwarder
 from shallotspindle_entry.headers import Origin
-from shallotspindle_entry.interfaces import Result, Sample, StoredResponse
+from shallotspindle_entry.interfaces import Sample, StoredResponse
+from shallotspindle_health.samples import Outcome
 from shallotspindle_retries import eligibility
 
 STORED_BYTES = 64 * 1024
@@ -47,7 +48,7 @@
     :param status: status of an answer that was not given to the caller.
     """
 
-    result: Result
+    result: Outcome
     response: web.StreamResponse | None = None
     stored: StoredResponse | None = None
     not_run: bool = False
@@ -99,7 +100,7 @@
 
         :param seconds: time that is left until the deadline.
         """
-        attempt = Attempt(Result.CANCELLED)
+        attempt = Attempt(Outcome.CANCELLED)
         started = self._clock.boottime()
         try:
             await self._transfer(upstream, seconds, attempt)
@@ -133,7 +134,7 @@
             if answer.status == UNAVAILABLE:
                 attempt.not_run = headers.says_not_run(answer.headers)
                 if attempt.not_run or call.idempotent:
-                    attempt.result = Result.SHED
+                    attempt.result = Outcome.SHED
                     attempt.status = answer.status
                     await answer.read()
                     return
@@ -162,9 +163,9 @@
                 gone = not await self._write(response.write(chunk))
         if not gone:
             await self._write(response.write_eof())
-        attempt.result = Result.WHOLE
+        attempt.result = Outcome.WHOLE
         if answer.status >= SERVER_ERROR:
-            attempt.result = Result.ERROR
+            attempt.result = Outcome.ERROR
         if self._call.keyed:
             # A body above the limit is cut here and dropped by the claims, which then
             # say that the request completed.
@@ -184,20 +185,20 @@
     def _classify(self, error: Exception, attempt: Attempt) -> None:
         if self._call.body.failed:
             # The caller cut its own request; the upstream is not at fault.
-            attempt.result = Result.CANCELLED
+            attempt.result = Outcome.CANCELLED
         elif isinstance(
             error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
         ):
-            attempt.result = Result.NOT_CONNECTED
+            attempt.result = Outcome.NOT_CONNECTED
             attempt.not_run = True
         elif isinstance(error, TimeoutError):
-            attempt.result = Result.TIMED_OUT
+            attempt.result = Outcome.TIMED_OUT
         elif isinstance(error, aiohttp.ClientPayloadError | FailureError):
-            attempt.result = Result.TRUNCATED
+            attempt.result = Outcome.TRUNCATED
         elif isinstance(error, ConnectionError) and attempt.response is not None:
-            attempt.result = Result.CANCELLED
+            attempt.result = Outcome.CANCELLED
         else:
-            attempt.result = Result.RESET
+            attempt.result = Outcome.RESET
 
     def _abort_caller(self) -> None:
         if self._request.transport is not None:
--- a/libraries/entry/shallotspindle_entry/execution.py
+++ b/libraries/entry/shallotspindle_entry/execution.py
@@ -17,11 +17,11 @@
     Balancer,
     NoCapacity,
     RequestHeld,
-    Result,
     Sample,
     StoredResponse,
 )
 from shallotspindle_entry.problems import Outcome, Problem
+from shallotspindle_health import samples
 from shallotspindle_retries import backoff, eligibility
 
 
@@ -35,7 +35,7 @@
 
     answer: web.StreamResponse | Problem
     stored: StoredResponse | None
-    result: Result | None
+    result: samples.Outcome | None
 
     @property
     def not_run(self) -> bool:
@@ -88,10 +88,10 @@
         self, exchange: Exchange, call: Call, assigned: Assignment
     ) -> Attempt:
         seconds = call.deadline - self._clock.boottime()
-        sample = Sample(Result.CANCELLED, 0.0)
+        sample = Sample(samples.Outcome.CANCELLED, 0.0)
         try:
             if seconds <= 0:
-                return Attempt(Result.CANCELLED, not_run=True)
+                return Attempt(samples.Outcome.CANCELLED, not_run=True)
             attempt = await exchange.run(assigned.upstream, seconds)
             sample = attempt.describe()
             return attempt
@@ -103,7 +103,7 @@
         if call.body.failed:
             return None
         seen = eligibility.Attempt(
-            connected=attempt.result is not Result.NOT_CONNECTED,
+            connected=attempt.result is not samples.Outcome.NOT_CONNECTED,
             status=attempt.status,
             headers=attempt.outcome,
             answered=attempt.response is not None,
@@ -133,6 +133,6 @@
             return replace(problems.BODY_FAILED, outcome=outcome, forwarded=True)
         if not may_have_run:
             return replace(problems.NO_CAPACITY, forwarded=True)
-        if attempt.result is Result.TIMED_OUT:
+        if attempt.result is samples.Outcome.TIMED_OUT:
             return problems.UPSTREAM_TIMEOUT
         return problems.UPSTREAM_FAILED
--- a/libraries/entry/shallotspindle_entry/interfaces.py
+++ b/libraries/entry/shallotspindle_entry/interfaces.py
@@ -17,6 +17,7 @@
     TeamName,
     UpstreamName,
 )
+from shallotspindle_health.samples import Outcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,19 +109,6 @@
         """Report that a granted request was certainly not sent; frees the key."""
 
 
-class Result(StrEnum):
-    """How an exchange with an upstream ended."""
-
-    WHOLE = "whole"
-    ERROR = "error"
-    SHED = "shed"
-    TRUNCATED = "truncated"
-    TIMED_OUT = "timed-out"
-    RESET = "reset"
-    NOT_CONNECTED = "not-connected"
-    CANCELLED = "cancelled"
-
-
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """An upstream that a request may be sent to, with a place in its queue."""
@@ -148,7 +136,7 @@
     :param draining: whether the upstream said that it leaves.
     """
 
-    result: Result
+    result: Outcome
     seconds: float
     load: float | None = None
     draining: bool = False
--- a/libraries/entry/shallotspindle_entry/local_test.py
+++ b/libraries/entry/shallotspindle_entry/local_test.py
@@ -15,7 +15,6 @@
     Sample,
     StoredResponse,
 )
-from shallotspindle_routing import choice
 
 
 class AlwaysFresh:
@@ -81,9 +80,10 @@
         await asyncio.sleep(0)
         upstreams = self._configuration.current.bundle.services[service].upstreams
         candidates = [u for u in upstreams if not u.draining and u.name not in tried]
-        found = choice.choose(candidates, self._in_flight, self._random)
-        if isinstance(found, choice.NoUpstream):
-            return NoCapacity(found.source, found.message)
+        if not candidates:
+            return NoCapacity("service", "no upstream is available")
+        drawn = [candidates[self._random.randrange(len(candidates))] for _ in "ab"]
+        found = min(drawn, key=lambda upstream: self._in_flight[upstream.name])
         self._in_flight[found.name] += 1
         return Assignment(found, 0)
 
--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -332,6 +332,7 @@
             try:
                 done = await step()
             except Exception:
+                # The next step comes anyway; without it the leases would end.
                 logging.exception("a step of the ownership task failed")
                 done = False
             wait = interval() if done else min(interval(), RETRY_SECONDS)
--- a/libraries/entry/shallotspindle_entry/peers.py
+++ b/libraries/entry/shallotspindle_entry/peers.py
@@ -318,6 +318,7 @@
         try:
             result = await handler(link.stream.peer, message)
         except Exception:
+            # A fault in one handler must not end the link that serves all others.
             logging.exception("the handler of %s failed", type(message).__name__)
             return
         if number is not None:
