End a soak whose fleet did not start

Cause: the working folder of a running soak was replaced by hand; every gateway failed to start and the soak went on to report only a broken recovery. Change: a gateway that does not get ready ends the soak with a typed failure (TestStart).

--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -14,6 +14,7 @@
 from shallotspindle_adapter.main import SETTINGS_VARIABLE
 from shallotspindle_adapter.settings import HEADERS, READINESS_PATH
 from shallotspindle_core.clock import Clock
+from shallotspindle_core.failures import Failure, FailureError
 from shallotspindle_gateway.records import Bounds
 from shallotspindle_soak.callers import Caller, Identity, Target
 from shallotspindle_soak.proxies import Proxy
@@ -42,6 +43,10 @@
 )
 
 
+class NotStarted(Failure):
+    """The fleet did not start; the soak would show nothing."""
+
+
 @dataclass(slots=True)
 class Gateway:
     """One gateway process with its own way to the store.
@@ -116,7 +121,10 @@
         for number in range(gateways):
             self.gateways.append(await self._build_gateway(network, number))
         await asyncio.gather(*(self.start_gateway(item) for item in self.gateways))
-        await asyncio.gather(*(self.await_ready(item) for item in self.gateways))
+        ready = await asyncio.gather(*map(self.await_ready, self.gateways))
+        if not all(ready):
+            logs = str(self._folder)
+            raise FailureError(NotStarted("soak", "a gateway did not get ready", logs))
         targets = [Target(g.name, f"{g.ip}:{CALLERS_PORT}") for g in self.gateways]
         for number in range(callers):
             self._start_caller(targets, TEAMS[number % len(TEAMS)].name)
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -6,6 +6,9 @@
 
 import asyncio
 
+import pytest
+
+from shallotspindle_core.failures import FailureError
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_soak import faults, main, promises
 from shallotspindle_soak.broken import VARIANTS
@@ -53,6 +56,14 @@
         assert any(call.status == 200 for call in history.calls)
 
 
+class TestStart:
+    async def test_a_gateway_that_does_not_start_ends_the_soak(self, tmp_path):
+        # Guards against a soak of a fleet that is not there: nothing runs, so that
+        # most promises hold.
+        with pytest.raises(FailureError):
+            await play([], 1, tmp_path, program=("shallotspindle_soak.absent",))
+
+
 class TestBrokenDaemons:
     async def test_each_missing_mechanism_is_noticed(self, tmp_path):
         # Guards against checks that pass whatever the daemon does.
