Give each fleet of a soak its own addresses and the limited team a small rate

A run shows why: with load 15 the limited team had 26 to 46 runs in the play, and 33 were allowed. Two of the eight fleets also drew the same addresses. Change: a rate of 1 a second and a burst of 2 (7 allowed); addresses are counted instead of drawn.

--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes, stand-ins and proxies of one soak."""
 
 import asyncio
+import itertools
 import os
 import signal
 import sys
@@ -37,7 +38,8 @@
 TEAMS = (
     TeamPlan("harbour", ("harbour-0",), 60.0, 60.0),
     TeamPlan("museum", ("museum-0",), 60.0, 60.0),
-    TeamPlan("kiosk", ("kiosk-0",), 5.0, 5.0),
+    # So little that its callers pass it on a slow machine as well.
+    TeamPlan("kiosk", ("kiosk-0",), 1.0, 2.0),
     # Without a limit, so that only the age of the configuration stops its keys.
     TeamPlan("guild", ("guild-0",), 0.0, 0.0),
 )
@@ -90,6 +92,9 @@
     :param program: module that a gateway process runs, with its arguments.
     """
 
+    # Fleets of one process must not share addresses.
+    networks = itertools.count()
+
     def __init__(
         self,
         folder: Path,
@@ -117,7 +122,7 @@
         self.configure()
         for _ in range(upstreams):
             await self.add_upstream()
-        network = f"127.{self.random.randrange(60, 250)}.{os.getpid() % 250}"
+        network = f"127.{60 + next(self.networks) % 190}.{os.getpid() % 250}"
         for number in range(gateways):
             self.gateways.append(await self._build_gateway(network, number))
         await asyncio.gather(*(self.start_gateway(item) for item in self.gateways))
