Keep lapsed entries only after an outage for all

Replayed with logs: the store had refused one instance, the watcher and lender of its domain, for 8.1 s, while neighbours confirmed the store to it every 0.3 to 1.2 s. When the store answered it again, it took this for the end of an outage and kept an entry that had vanished 0.15 s before for 2 s, and told its followers to do the same.

Change: entries are kept after an outage only by instances that nobody had confirmed the store to for 1.6 s. TestOutages fails before and passes after; its second test shows that an outage for all still keeps what lapsed.

--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -8,7 +8,7 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import following, lending, rights
-from shallotspindle_gateway.conftest import NAMES, MemoryStore
+from shallotspindle_gateway.conftest import NAMES, SERVICE, MemoryStore
 from shallotspindle_gateway.records import Bounds
 
 
@@ -23,6 +23,19 @@
         return await self.follow(0, 1.0)
 
 
+class RefusingStore(MemoryStore):
+    """Store that refuses the instance that calls it through this object."""
+
+    async def renew_lease(self, lease):
+        return Error(StoreFailure("store", "refused"))
+
+    async def follow(self, revision, seconds):
+        return Error(StoreFailure("store", "refused"))
+
+    async def read_all(self):
+        return await self.follow(0, 1.0)
+
+
 @pytest.fixture(autouse=True)
 def no_settling(monkeypatch):
     monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
@@ -202,6 +215,36 @@
         await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 2)
 
 
+class TestOutages:
+    async def test_an_outage_of_one_instance_keeps_no_upstream_that_left(self, fleet):
+        # Guards against work for an upstream that left while the store refused one
+        # instance only: its neighbours confirmed the store all the while.
+        daemon = await start(fleet, "whole")
+        follower, clock = daemon.follower, SystemClock()
+        follower.store = RefusingStore()
+        for _ in range(25):
+            follower._confirm(clock.boottime(), clock.boottime())
+            await asyncio.sleep(0.1)
+        fleet.store.remove("upstreams/u0")
+        follower.store = fleet.store
+        await fleet.await_true(
+            lambda: not follower.upstreams.list_usable(SERVICE), seconds=1.8
+        )
+
+    async def test_an_outage_for_all_keeps_entries_that_lapsed(self, fleet):
+        # Guards against upstreams that are lost because they could not announce
+        # themselves while the store was away.
+        daemon = await start(fleet, "whole")
+        fleet.store.is_away = True
+        await asyncio.sleep(2.8)
+        fleet.store.remove("upstreams/u0")
+        fleet.store.is_away = False
+        age = daemon.follower.find_age
+        clock = SystemClock()
+        await fleet.await_true(lambda: age(clock.boottime()) < 0.5)
+        assert daemon.follower.upstreams.list_usable(SERVICE)
+
+
 class TestRates:
     async def test_the_rate_holds_over_all_gateways(self, fleet):
         # Guards against instances that each give the whole rate.
@@ -264,13 +307,6 @@
         await fleet.await_true(lambda: len(daemon.follower.members) == 1)
 
 
-class RefusingStore(MemoryStore):
-    """Store that refuses the instance that calls it through this object."""
-
-    async def renew_lease(self, lease):
-        return Error(StoreFailure("store", "refused"))
-
-
 class TestRenewals:
     async def test_a_refused_instance_keeps_its_rights_through_a_neighbour(
         self, fleet, monkeypatch
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -61,6 +61,9 @@
 EXPIRY_SLACK_SECONDS = 0.1
 # Shorter gaps leave no time for entries to lapse.
 OUTAGE_SECONDS = 1.0
+# While a neighbour confirmed the store within this time the store was not away,
+# whatever happened to the calls of this instance.
+UNHEARD_SECONDS = 1.6
 Listener = Callable[[], None]
 
 
@@ -173,13 +176,15 @@
     def _note_store(self, asked_at: float) -> bool:
         """Count an answer; return whether the store was away before it."""
         now = self._clock.boottime()
+        was_unheard = self.find_age(now) >= UNHEARD_SECONDS
         since, self._failing_since = self._failing_since, None
         self._confirm(asked_at, now)
         if since is None or now - since < OUTAGE_SECONDS:
             return False
         logging.info("the store answers after %.1f s", now - since)
-        self.upstreams.note_outage_end(now)
-        self._expire_later(GRACE_SECONDS)
+        if was_unheard:
+            self.upstreams.note_outage_end(now)
+            self._expire_later(GRACE_SECONDS)
         return True
 
     def _expire_later(self, seconds: float) -> None:
@@ -259,8 +264,9 @@
             key if is_removed else Stored(key, value, revision)
             for key, value, revision, is_removed in told.events
         )
-        if told.grace_seconds > 0:
-            self.upstreams.distrust(told.grace_seconds, self._clock.boottime())
+        now = self._clock.boottime()
+        if told.grace_seconds > 0 and self.find_age(now) >= UNHEARD_SECONDS:
+            self.upstreams.distrust(told.grace_seconds, now)
             self._expire_later(told.grace_seconds)
         self._apply(Changes(events, told.revision))
         if told.is_whole:
