Break the import circle of the ownership modules

The review, the hand-over and the sharing of the table took the whole task and imported its module for type checking.

--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -18,6 +18,7 @@
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry import review, transfers
 from shallotspindle_entry.interfaces import PartitionGained, PartitionLost, PeerLink
+from shallotspindle_entry.ownership_access import Released
 from shallotspindle_entry.sessions import SessionWriter
 from shallotspindle_entry.table_sharing import TableSharing
 from shallotspindle_entry.tasks import Task
@@ -93,17 +94,6 @@
     alone: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Released:
-    """Partitions that this instance gave up, with their state.
-
-    :param remaining: seconds that the right still lasts.
-    """
-
-    remaining: float
-    parts: tuple[Part, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A message of another instance."""
--- a/libraries/entry/shallotspindle_entry/review.py
+++ b/libraries/entry/shallotspindle_entry/review.py
@@ -4,13 +4,12 @@
 over without the store, and gives surplus partitions away.
 """
 
-from typing import TYPE_CHECKING
-
 from absl import logging
 
 from shallotspindle_core.identifiers import Incarnation
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry import transfers
+from shallotspindle_entry.ownership_access import OwnershipAccess
 from shallotspindle_environment.interface import InstanceList
 from shallotspindle_ownership import holdings, placement, proofs, sessions
 from shallotspindle_ownership import table as tables
@@ -18,9 +17,6 @@
 from shallotspindle_ownership.sessions import Phase
 from shallotspindle_ownership.table import Entry, Table, Write
 
-if TYPE_CHECKING:
-    from shallotspindle_entry.ownership import OwnershipTask
-
 # Instances that start together race for the table.
 RACE_TRIES = 8
 RACE_PAUSE_SECONDS = 0.5
@@ -36,7 +32,7 @@
 class Reviewer:
     """Runs one review after the other for an ownership task."""
 
-    def __init__(self, task: "OwnershipTask", instances: InstanceList) -> None:
+    def __init__(self, task: OwnershipAccess, instances: InstanceList) -> None:
         self._task = task
         self._instances = instances
         self._live: frozenset[Incarnation] = frozenset()
--- a/libraries/entry/shallotspindle_entry/table_sharing.py
+++ b/libraries/entry/shallotspindle_entry/table_sharing.py
@@ -5,25 +5,22 @@
 """
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from absl import logging
 
 from shallotspindle_core.identifiers import Instance
 from shallotspindle_entry import ownership_records as records
+from shallotspindle_entry.ownership_access import OwnershipAccess
 from shallotspindle_ownership.messages import TableAsked, TableTold
 from shallotspindle_ownership.table import Table
 
-if TYPE_CHECKING:
-    from shallotspindle_entry.ownership import OwnershipTask
-
 PULL_SECONDS = 2.0
 
 
 class TableSharing:
     """Tells peers the table and asks those that know a newer one."""
 
-    def __init__(self, task: "OwnershipTask") -> None:
+    def __init__(self, task: OwnershipAccess) -> None:
         self.told = TableTold(0, b"")
         self._task = task
         self._pulling: asyncio.Task | None = None
--- a/libraries/entry/shallotspindle_entry/transfers.py
+++ b/libraries/entry/shallotspindle_entry/transfers.py
@@ -3,21 +3,18 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 from absl import logging
 
 from shallotspindle_core.identifiers import Incarnation, Instance
 from shallotspindle_entry.interfaces import PeerUnreachable
+from shallotspindle_entry.ownership_access import OwnershipAccess, Released
 from shallotspindle_ownership import placement
 from shallotspindle_ownership import table as tables
 from shallotspindle_ownership.messages import HandOver, Offer, Ready
 from shallotspindle_ownership.sessions import Phase
 from shallotspindle_ownership.table import Entry, Write
 
-if TYPE_CHECKING:
-    from shallotspindle_entry.ownership import OwnershipTask, Released
-
 REPLY_SECONDS = 1.0
 MESSAGE_TRIES = 3
 # 341 partitions in one group had no holder for more than a second.
@@ -38,7 +35,7 @@
     return {name: tuple(found) for name, found in groups.items()}
 
 
-async def hand_over_all(task: "OwnershipTask", deadline: float) -> int:
+async def hand_over_all(task: OwnershipAccess, deadline: float) -> int:
     """Hand over all partitions until a deadline; see ``OwnershipTask``."""
     refused: set[Incarnation] = set()
     given_up = 0
@@ -67,7 +64,7 @@
 
 
 async def hand_over_groups(
-    task: "OwnershipTask", successor: Incarnation, partitions: tuple[int, ...]
+    task: OwnershipAccess, successor: Incarnation, partitions: tuple[int, ...]
 ) -> int | None:
     """Hand partitions over in small groups; see ``hand_over``."""
     given_up = 0
@@ -88,7 +85,7 @@
 
 
 async def hand_over(
-    task: "OwnershipTask", successor: Incarnation, partitions: tuple[int, ...]
+    task: OwnershipAccess, successor: Incarnation, partitions: tuple[int, ...]
 ) -> int | None:
     """Hand partitions over to one successor.
 
@@ -118,8 +115,8 @@
 
 
 async def _record(
-    task: "OwnershipTask", successor: Incarnation, released: "Released"
-) -> "Released":
+    task: OwnershipAccess, successor: Incarnation, released: Released
+) -> Released:
     """Name the successor in the table; returns what the table names it for.
 
     Only entries that still name this instance change, each to the offered epoch. An
@@ -146,10 +143,10 @@
 
 
 async def _send(
-    task: "OwnershipTask",
+    task: OwnershipAccess,
     peer: Instance,
     at: float,
-    released: "Released",
+    released: Released,
     recorded: bool,
 ) -> None:
     """Send one message a partition, as the states may be large.
