--- a/tools/usage.py
+++ b/tools/usage.py
@@ -96,6 +96,11 @@
     return read_fields(Path(f"/proc/{pid}/status"))["VmHWM"] * KILOBYTE
 
 
+def read_private(pid: int) -> int:
+    """Return the resident memory that no file backs, in bytes."""
+    return read_fields(Path(f"/proc/{pid}/status"))["RssAnon"] * KILOBYTE
+
+
 def reset_peak(pid: int) -> None:
     """Start the record of the highest resident memory again."""
     Path(f"/proc/{pid}/clear_refs").write_text("5")
