Lend the slots of failure domains whose instances are all gone

Cause: the lender of a service and domain was sought among the instances of that domain only. Ruled out: a late view of the members; their entries end after 3 s.

Change: such a domain gets its lender among all instances, and each instance sends it its share of the requests first.

--- a/libraries/bench/shallotspindle_bench/lending_play.py
+++ b/libraries/bench/shallotspindle_bench/lending_play.py
@@ -25,6 +25,7 @@
 from shallotspindle_retries.budget import Budget
 
 SERVICE = ServiceName("catalogue")
+DOMAIN = FailureDomain("a")
 ASKER = "instance"
 TICK_SECONDS = 0.05
 CONNECT_SECONDS = 0.08
@@ -189,6 +190,7 @@
             number,
             ASKER,
             SERVICE,
+            DOMAIN,
             kind.repeatable,
             repeat,
             kind.priority,
@@ -299,7 +301,13 @@
     def _give_back(self, flight: Flight, outcome: Outcome) -> None:
         seconds = self._now - flight.started
         returned = SlotReturned(
-            flight.lent.number, ASKER, SERVICE, flight.lent.upstream, outcome, seconds
+            flight.lent.number,
+            ASKER,
+            SERVICE,
+            DOMAIN,
+            flight.lent.upstream,
+            outcome,
+            seconds,
         )
         self._take(self._desk.give_back(returned, self._now))
 
--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/borrowing.py
@@ -0,0 +1,357 @@
+"""Borrows slots of upstreams for the requests of this instance.
+
+The lenders of the own failure domain are asked first, then those of the others. An
+instance whose lenders are all silent asks its own.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Mapping, Set
+from dataclasses import dataclass, replace
+from typing import Any
+
+from absl import logging
+
+from shallotspindle_core.clock import Clock
+from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
+from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway.election import rank_lenders
+from shallotspindle_gateway.following import Follower
+from shallotspindle_gateway.peers import Peers, Unanswered
+from shallotspindle_gateway.records import Member
+from shallotspindle_lending.records import (
+    CrashSeen,
+    Outcome,
+    Reason,
+    SlotAsked,
+    SlotLent,
+    SlotQueued,
+    SlotRefused,
+    SlotReturned,
+)
+
+ANSWER_SECONDS = 0.1
+# A lender that did not answer is not asked for this time, then twice as long.
+SILENT_SECONDS = 1.0
+LONGEST_SILENT_SECONDS = 8.0
+# A queued question is sent again in case the decision was lost.
+REPEAT_SECONDS = 0.2
+LENDERS_ASKED = 3
+HEDGE_SECONDS = 0.35
+# A request waits this long for a slot in its own domain before others are asked; one
+# whose body is dear to send to them waits longer.
+NEAR_WAIT_SECONDS = 0.05
+HEAVY_WAIT_SECONDS = 0.14
+# Questions below this wait are answered at once, so that other domains can be asked.
+NO_WAIT = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """What a request needs a slot for.
+
+    :param repeat: whether an upstream got the request before.
+    :param hedge: whether another send is still on its way.
+    :param heavy: whether its body is dear to send to another failure domain.
+    :param until: when the request must be answered, in seconds.
+    :param objective_until: when its answer is late, in seconds.
+    """
+
+    service: ServiceName
+    repeatable: bool
+    repeat: bool
+    priority: int
+    heavy: bool
+    until: float
+    objective_until: float
+    fingerprint: int
+    route: int
+    hedge: bool = False
+    avoid: tuple[UpstreamName, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Borrowed:
+    """A slot with the lender that gets it back.
+
+    :param lender: address; empty when no lender answered.
+    :param domain: failure domain of the upstream.
+    """
+
+    lender: str
+    domain: FailureDomain
+    number: int
+    upstream: UpstreamName
+    address: str
+    hedge_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """A lender that did not answer.
+
+    :param until: until when it is not asked, in seconds.
+    :param pause: length of that pause, in seconds.
+    """
+
+    until: float
+    pause: float
+
+
+Answer = SlotLent | SlotRefused
+
+
+def draw_domain(
+    counts: Mapping[FailureDomain, int],
+    own: FailureDomain,
+    populated: Set[FailureDomain],
+    random: RandomSource,
+) -> FailureDomain | None:
+    """Return a domain without instances that is asked first, or None.
+
+    The upstreams of such a domain get requests from the instances of the others only,
+    each of which takes a share; the own domain keeps its part of the requests.
+
+    :param counts: number of usable upstreams by domain.
+    :param populated: domains with instances.
+    """
+    deserted = sorted(counts.keys() - populated - {own})
+    shares = [counts[domain] / max(1, len(populated)) for domain in deserted]
+    drawn = random.random() * (counts.get(own, 0) + sum(shares))
+    for domain, share in zip(deserted, shares, strict=True):
+        drawn -= share
+        if drawn < 0:
+            return domain
+    return None
+
+
+class Borrower:
+    """Owns the questions for slots that wait for their answer."""
+
+    def __init__(
+        self,
+        own: Member,
+        follower: Follower,
+        peers: Peers,
+        clock: Clock,
+        random: RandomSource,
+    ) -> None:
+        self._own = own
+        self._follower = follower
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._numbers = itertools.count(1)
+        self._decisions: dict[int, asyncio.Future] = {}
+        self._silences: dict[str, Silence] = {}
+        peers.register(SlotLent, self._hear_decision)
+        peers.register(SlotRefused, self._hear_decision)
+
+    def _hear_decision(self, sender: str, decision: Answer) -> None:
+        waiting = self._decisions.get(decision.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(decision)
+
+    async def borrow(self, want: Want) -> Borrowed | SlotRefused:
+        """Return a slot as near as possible, or why there is none."""
+        domains = self._order_domains(want.service)
+        if not domains:
+            return SlotRefused(0, Reason.NO_UPSTREAM, 1.0)
+        refused = SlotRefused(0, Reason.SILENT, 0.5)
+        for domain, wait in self._plan(want, domains):
+            found = await self._borrow_in(domain, want, wait)
+            if isinstance(found, Borrowed):
+                return found
+            if found is None:
+                continue
+            refused = found
+            if found.reason in (Reason.HELD, Reason.NO_BUDGET):
+                break
+        if refused.reason is Reason.SILENT:
+            return await self._borrow_alone(want) or refused
+        return refused
+
+    def _plan(
+        self, want: Want, domains: list[FailureDomain]
+    ) -> list[tuple[FailureDomain, float]]:
+        """Return the domains to ask, and how long to wait in each, in seconds."""
+        plans = [(domain, NO_WAIT) for domain in domains]
+        if want.hedge:
+            return plans
+        near = HEAVY_WAIT_SECONDS if want.heavy else NEAR_WAIT_SECONDS
+        left = max(0.0, want.until - self._clock.boottime())
+        return [(domains[0], min(near, left)), *plans[1:], (domains[0], left)]
+
+    def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
+        counts = self._follower.upstreams.list_domains(service)
+        populated = {member.domain for member in self._follower.members.values()}
+        own = self._own.domain
+        others = sorted(domain for domain in counts if domain != own)
+        if others:
+            first = self._random.randrange(len(others))
+            others = others[first:] + others[:first]
+        ordered = [own, *others] if own in counts else others
+        first = draw_domain(counts, own, populated, self._random)
+        return [first, *(d for d in ordered if d != first)] if first else ordered
+
+    def _rank_lenders(self, service: ServiceName, domain: FailureDomain) -> list[str]:
+        """Return the lenders to ask, without those that were silent lately."""
+        now = self._clock.boottime()
+        ranked = rank_lenders(service, domain, self._follower.members.values())
+        return [name for name in ranked if not self._is_silent(name, now)]
+
+    def _is_silent(self, lender: str, now: float) -> bool:
+        silence = self._silences.get(lender)
+        return silence is not None and now < silence.until
+
+    def _note_silence(self, lender: str, service: ServiceName) -> None:
+        before = self._silences.get(lender)
+        pause = min(
+            LONGEST_SILENT_SECONDS, 2 * before.pause if before else SILENT_SECONDS
+        )
+        self._silences[lender] = Silence(self._clock.boottime() + pause, pause)
+        logging.info(
+            "the lender %s of %s is silent, not asked for %.0f s",
+            lender,
+            service,
+            pause,
+        )
+
+    async def _borrow_in(
+        self, domain: FailureDomain, want: Want, wait: float
+    ) -> Borrowed | SlotRefused | None:
+        for lender in self._rank_lenders(want.service, domain)[:LENDERS_ASKED]:
+            found = await self._borrow_from(lender, domain, want, wait)
+            if found is not None:
+                self._silences.pop(lender, None)
+                return found
+            self._note_silence(lender, want.service)
+        return None
+
+    def _build_question(
+        self, domain: FailureDomain, want: Want, wait: float
+    ) -> SlotAsked:
+        now = self._clock.boottime()
+        return SlotAsked(
+            next(self._numbers),
+            self._own.address,
+            want.service,
+            domain,
+            want.repeatable,
+            want.repeat,
+            want.priority,
+            max(0.0, want.until - now),
+            want.objective_until - now,
+            wait,
+            want.fingerprint,
+            want.avoid,
+            want.route,
+        )
+
+    async def _borrow_from(
+        self, lender: str, domain: FailureDomain, want: Want, wait: float
+    ) -> Borrowed | SlotRefused | None:
+        """Return the lender's decision, or None if it is silent."""
+        asked = self._build_question(domain, want, wait)
+        decision = asyncio.get_running_loop().create_future()
+        self._decisions[asked.number] = decision
+        answer: Any = None
+        try:
+            answer = await self._ask(lender, asked)
+            if isinstance(answer, SlotQueued):
+                answer = await self._await_decision(lender, asked, decision)
+        finally:
+            del self._decisions[asked.number]
+            if not isinstance(answer, SlotLent | SlotRefused):
+                # A slot that was lent meanwhile goes back.
+                self._return(lender, asked, UpstreamName(""), Outcome.CANCELLED, 0.0)
+        if isinstance(answer, SlotLent):
+            return Borrowed(
+                lender,
+                domain,
+                answer.number,
+                answer.upstream,
+                answer.address,
+                answer.hedge_seconds,
+            )
+        return answer if isinstance(answer, SlotRefused) else None
+
+    async def _ask(self, lender: str, asked: SlotAsked) -> Any:
+        answer = await self._peers.request(lender, asked, ANSWER_SECONDS)
+        return None if isinstance(answer, Unanswered) else answer
+
+    async def _await_decision(
+        self, lender: str, asked: SlotAsked, decision: asyncio.Future
+    ) -> Any:
+        until = self._clock.boottime() + asked.wait_seconds + ANSWER_SECONDS
+        while self._clock.boottime() < until:
+            done, _ = await asyncio.wait((decision,), timeout=REPEAT_SECONDS)
+            if done:
+                return decision.result()
+            answer = await self._ask(lender, asked)
+            if not isinstance(answer, SlotQueued):
+                return answer
+        return SlotRefused(asked.number, Reason.BUSY, HEDGE_SECONDS)
+
+    async def _borrow_alone(self, want: Want) -> Borrowed | SlotRefused | None:
+        """Lend to oneself; every lender is silent.
+
+        The own desk remembers what the requests of this instance saw. A second lender
+        has no part in the budget for repeats.
+        """
+        if want.repeat:
+            return None
+        wait = max(0.0, want.until - self._clock.boottime())
+        if self._own.domain in self._follower.upstreams.list_domains(want.service):
+            own = self._own
+            return await self._borrow_from(own.address, own.domain, want, wait)
+        return self._draw(want)
+
+    def _draw(self, want: Want) -> Borrowed | None:
+        """Draw an upstream of another domain, whose lenders are silent."""
+        usable = self._follower.upstreams.list_usable(want.service)
+        names = sorted(usable.keys() - set(want.avoid))
+        if not names:
+            return None
+        name = names[self._random.randrange(len(names))]
+        address = usable[name].announcement.address
+        return Borrowed(
+            "", FailureDomain(""), next(self._numbers), name, address, HEDGE_SECONDS
+        )
+
+    def give_back(
+        self, want: Want, slot: Borrowed, outcome: Outcome, seconds: float
+    ) -> None:
+        """Return a slot and tell how the request went."""
+        if outcome is Outcome.RESET:
+            self._spread_crash(CrashSeen(want.fingerprint, slot.upstream))
+        if not slot.lender:
+            return
+        asked = replace(
+            self._build_question(slot.domain, want, NO_WAIT), number=slot.number
+        )
+        self._return(slot.lender, asked, slot.upstream, outcome, seconds)
+
+    def _return(
+        self,
+        lender: str,
+        asked: SlotAsked,
+        upstream: UpstreamName,
+        outcome: Outcome,
+        seconds: float,
+    ) -> None:
+        returned = SlotReturned(
+            asked.number,
+            asked.asker,
+            asked.service,
+            asked.domain,
+            upstream,
+            outcome,
+            seconds,
+        )
+        self._peers.send(lender, returned)
+
+    def _spread_crash(self, seen: CrashSeen) -> None:
+        members = {member.address for member in self._follower.members.values()}
+        for address in members | {self._own.address}:
+            self._peers.send(address, seen)
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -17,11 +17,12 @@
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_gateway import messages
 from shallotspindle_gateway.admission import Admission
+from shallotspindle_gateway.borrowing import Borrower
 from shallotspindle_gateway.execution import Executor
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.forwarding import Forwarder
 from shallotspindle_gateway.frontend import Frontend, Probes
-from shallotspindle_gateway.lending import Lending
+from shallotspindle_gateway.lending import Lender
 from shallotspindle_gateway.peers import Peers
 from shallotspindle_gateway.pipeline import Pipeline
 from shallotspindle_gateway.records import Endpoint, Member, Settings
@@ -85,9 +86,10 @@
         self.rights = Rights(
             own, secrets.token_hex(8), store, self.follower, renewals, clock
         )
-        self.lending = Lending(
+        self._lender = Lender(
             own, self.follower, self.peers, settings.bounds, clock, source
         )
+        borrower = Borrower(own, self.follower, self.peers, clock, source)
         names = settings.headers
         forwarder = Forwarder(names.request_id, names.not_run, clock)
         self._admission = Admission(
@@ -97,7 +99,7 @@
             settings,
             self.follower,
             self._admission,
-            Executor(self.lending, forwarder, clock),
+            Executor(borrower, forwarder, clock),
             clock,
             source,
         )
@@ -115,7 +117,7 @@
             self.peers,
             self.follower,
             self.rights,
-            self.lending,
+            self._lender,
             forwarder,
             self._frontend,
             probes,
@@ -167,7 +169,7 @@
             logging.warning("reload: new addresses and names need a restart")
         self._settings = replace(self._settings, bounds=found.bounds)
         self._pipeline.set_bounds(found.bounds)
-        self.lending.set_bounds(found.bounds)
+        self._lender.set_bounds(found.bounds)
         self._admission.set_bounds(found.bounds)
         logging.info("reload: %s are in force", found.bounds)
 
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -7,7 +7,7 @@
 from shallotspindle_core.failures import Failure
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
-from shallotspindle_gateway import following, lending, rights
+from shallotspindle_gateway import borrowing, following, rights
 from shallotspindle_gateway.conftest import NAMES, SERVICE, MemoryStore
 from shallotspindle_gateway.records import Bounds
 
@@ -336,7 +336,7 @@
 class TestLenders:
     async def test_a_silent_lender_is_passed_over(self, fleet, monkeypatch):
         # Guards against requests that wait for a lender that was killed.
-        monkeypatch.setattr(lending, "ANSWER_SECONDS", 0.02)
+        monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
         daemon = await start(fleet, "whole")
         for number in range(4):
             value = f'["127.0.0.1:{number + 1}", "a", 1000.0]'.encode()
@@ -350,7 +350,7 @@
     ):
         # Guards against an instance that is cut from its neighbours and goes on to
         # send orders to an upstream that answers all of them with an error.
-        monkeypatch.setattr(lending, "ANSWER_SECONDS", 0.02)
+        monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
         daemon = await start(fleet, "error", "whole", "whole")
         for number in range(6):
             value = f'["127.0.0.1:{number + 1}", "a", 1000.0]'.encode()
@@ -368,6 +368,14 @@
         await fleet.await_true(lambda: len(far.follower.rights) == rights.RIGHT_COUNT)
         assert (await fleet.send(near))[0] == 200
 
+    async def test_upstreams_of_a_domain_without_instances_get_work(self, fleet):
+        # Guards against capacity that is lost with the instances beside it.
+        far = [await fleet.add_upstream(domain="b") for _ in range(2)]
+        near = await start(fleet, "whole", "whole")
+        for _ in range(30):
+            assert (await fleet.send(near))[0] == 200
+        assert all(upstream.runs for upstream in far)
+
 
 class TestStop:
     async def test_a_planned_stop_cuts_no_request(self, fleet):
--- a/libraries/gateway/shallotspindle_gateway/election.py
+++ b/libraries/gateway/shallotspindle_gateway/election.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from shallotspindle_core import hashing
+from shallotspindle_core.identifiers import FailureDomain, ServiceName
 from shallotspindle_gateway.records import Member
 
 # Part of the largest capacity from which a member counts as strong.
@@ -24,3 +25,17 @@
         *hashing.rank_rendezvous(role, strong),
         *hashing.rank_rendezvous(role, others),
     ]
+
+
+def rank_lenders(
+    service: ServiceName, domain: FailureDomain, members: Iterable[Member]
+) -> list[str]:
+    """Return the addresses of the members that lend a domain's slots, in their order.
+
+    The upstreams of a domain whose instances are all gone are lent by the others.
+    """
+    found = tuple(members)
+    near = [member for member in found if member.domain == domain]
+    if near:
+        return rank_members(f"lender {service}", near)
+    return rank_members(f"lender {service} {domain}", found)
--- a/libraries/gateway/shallotspindle_gateway/election_test.py
+++ b/libraries/gateway/shallotspindle_gateway/election_test.py
@@ -1,5 +1,5 @@
-from shallotspindle_core.identifiers import FailureDomain
-from shallotspindle_gateway.election import rank_members
+from shallotspindle_core.identifiers import FailureDomain, ServiceName
+from shallotspindle_gateway.election import rank_lenders, rank_members
 from shallotspindle_gateway.records import Member
 
 
@@ -25,3 +25,20 @@
     def test_all_members_agree_whatever_the_order(self):
         members = build(12, 10.0) + build(3, 100.0, first=50)
         assert rank_members("r", members) == rank_members("r", members[::-1])
+
+
+class TestLenders:
+    SERVICE = ServiceName("catalogue")
+
+    def test_the_members_of_a_domain_lend_its_slots(self):
+        far = [Member(f"10.1.0.{n}:1", FailureDomain("b"), 500.0) for n in range(4)]
+        near = build(4, 10.0)
+        ranked = rank_lenders(self.SERVICE, FailureDomain("a"), near + far)
+        assert set(ranked) == {member.address for member in near}
+
+    def test_others_lend_for_a_domain_without_members(self):
+        # Guards against upstreams that nobody lends after the loss of their neighbours.
+        members = build(12, 10.0)
+        ranked = rank_lenders(self.SERVICE, FailureDomain("c"), members)
+        assert set(ranked) == {member.address for member in members}
+        assert ranked == rank_lenders(self.SERVICE, FailureDomain("c"), members[::-1])
--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, replace
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_gateway.borrowing import Borrowed, Borrower, Want
 from shallotspindle_gateway.forwarding import Answer, Attempt, Forwarder, Order
-from shallotspindle_gateway.lending import Borrowed, Lending, Want
 from shallotspindle_lending.records import Outcome, Reason, SlotRefused
 
 # Sends that certainly did not run are not counted against the route's attempts.
@@ -77,8 +77,8 @@
 class Executor:
     """Holds no state of requests."""
 
-    def __init__(self, lending: Lending, forwarder: Forwarder, clock: Clock) -> None:
-        self._lending = lending
+    def __init__(self, borrower: Borrower, forwarder: Forwarder, clock: Clock) -> None:
+        self._borrower = borrower
         self._forwarder = forwarder
         self._clock = clock
 
@@ -141,7 +141,7 @@
         run.want = replace(
             run.want, hedge=bool(flights), repeat=bool(run.arrivals or flights)
         )
-        slot = await self._lending.borrow(run.want)
+        slot = await self._borrower.borrow(run.want)
         if isinstance(slot, SlotRefused):
             run.refused = slot
             return False
@@ -149,7 +149,7 @@
         now = self._clock.boottime()
         left = run.want.until - now
         if left < LEAST_SECONDS:
-            self._lending.give_back(run.want, slot, Outcome.CANCELLED, 0.0)
+            self._borrower.give_back(run.want, slot, Outcome.CANCELLED, 0.0)
             return False
         order = run.build(slot, left)
         task = asyncio.create_task(self._forwarder.send(order))
@@ -176,7 +176,7 @@
             run.arrivals += 1
         seconds = attempt.seconds
         run.sends.append(Sent(flight.slot.upstream, attempt.outcome, seconds))
-        self._lending.give_back(run.want, flight.slot, attempt.outcome, seconds)
+        self._borrower.give_back(run.want, flight.slot, attempt.outcome, seconds)
 
     def _cancel(self, run: Run, flight: Flight) -> None:
         """End a send whose answer is no longer needed."""
@@ -185,7 +185,7 @@
         overdue = seconds >= OVERDUE_FACTOR * flight.slot.hedge_seconds
         outcome = Outcome.OVERDUE if overdue else Outcome.CANCELLED
         run.sends.append(Sent(flight.slot.upstream, outcome, seconds))
-        self._lending.give_back(run.want, flight.slot, outcome, seconds)
+        self._borrower.give_back(run.want, flight.slot, outcome, seconds)
 
     @staticmethod
     def _conclude(run: Run) -> Answer | Failed:
--- a/libraries/gateway/shallotspindle_gateway/peers.py
+++ b/libraries/gateway/shallotspindle_gateway/peers.py
@@ -106,7 +106,10 @@
             self._transport.close()
 
     def send(self, address: str, message: Any) -> None:
-        """Send a message that may be lost."""
+        """Send a message that may be lost; the own instance gets it at once."""
+        if address == self.address:
+            self._dispatch(address, message)
+            return
         self._write(address, Tell(self._inner.encode(message)))
 
     async def request(
@@ -116,6 +119,13 @@
 
         :param timeout: longest time to wait for the answer, in seconds.
         """
+        if address == self.address:
+            answer = self._dispatch(address, message)
+            return (
+                Unanswered("peers", "no task answers", address)
+                if answer is None
+                else answer
+            )
         number = next(self._numbers)
         reply = asyncio.get_running_loop().create_future()
         self._pending[number] = reply
@@ -173,5 +183,9 @@
         if message.is_error():
             logging.warning("a message was ignored: %s", message.error)
             return None
-        handler = self._handlers.get(type(message.ok))
-        return None if handler is None else handler(sender, message.ok)
+        return self._dispatch(sender, message.ok)
+
+    def _dispatch(self, sender: str, message: Any) -> Any:
+        """Hand a message to its task; return the reply."""
+        handler = self._handlers.get(type(message))
+        return None if handler is None else handler(sender, message)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -18,10 +18,10 @@
 from shallotspindle_gateway import bodies, headers, refusals
 from shallotspindle_gateway.admission import Admission
 from shallotspindle_gateway.bodies import Body, BodyFault
+from shallotspindle_gateway.borrowing import Borrowed, Want
 from shallotspindle_gateway.execution import Executor, Failed, Sent
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.forwarding import Answer, Order
-from shallotspindle_gateway.lending import Borrowed, Want
 from shallotspindle_gateway.messages import TokenDenied, TokenGiven
 from shallotspindle_gateway.records import Bounds, Deployment, Settings
 from shallotspindle_gateway.refusals import Refusal
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -19,6 +19,7 @@
 from shallotspindle_retries.budget import Budget
 
 SERVICE = ServiceName("catalogue")
+DOMAIN = FailureDomain("a")
 
 
 def announce(name: str, born: int = 1) -> Known:
@@ -26,7 +27,7 @@
         UpstreamName(name),
         SERVICE,
         f"{name}:80",
-        FailureDomain("a"),
+        DOMAIN,
         State.READY,
         slots=2,
         born=born,
@@ -35,7 +36,9 @@
 
 
 def ask(number: int, **changes) -> SlotAsked:
-    asked = SlotAsked(number, "me", SERVICE, False, False, 1, 1.0, 0.5, 0.5, number)
+    asked = SlotAsked(
+        number, "me", SERVICE, DOMAIN, False, False, 1, 1.0, 0.5, 0.5, number
+    )
     return replace(asked, **changes)
 
 
@@ -70,7 +73,13 @@
 
     def give_back(self, asked, lent, outcome, now, seconds=0.1):
         returned = SlotReturned(
-            asked.number, asked.asker, SERVICE, lent.upstream, outcome, seconds
+            asked.number,
+            asked.asker,
+            SERVICE,
+            DOMAIN,
+            lent.upstream,
+            outcome,
+            seconds,
         )
         return [item.decision for item in self.desk.give_back(returned, now)]
 
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from shallotspindle_core.identifiers import ServiceName, UpstreamName
+from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 
 
 class Outcome(StrEnum):
@@ -40,6 +40,7 @@
     """A request needs a slot.
 
     :param number: number of the question, unique for its asker.
+    :param domain: failure domain whose slots are asked for.
     :param repeatable: whether the request may run twice.
     :param repeat: whether the request was sent to an upstream before.
     :param priority: rank of the request; 0 is the highest.
@@ -54,6 +55,7 @@
     number: int
     asker: str
     service: ServiceName
+    domain: FailureDomain
     repeatable: bool
     repeat: bool
     priority: int
@@ -104,6 +106,7 @@
     number: int
     asker: str
     service: ServiceName
+    domain: FailureDomain
     upstream: UpstreamName
     outcome: Outcome
     seconds: float
