Give most upstreams work whether requests fail or not

At 30 s the power of all machines went, and the requests in flight made up 13 to 16 % of the window. Ruled out: suspensions (the idle upstreams were unproven, not suspended), new entries that are not known, a domain without a lender.

Change: four in five upstreams that are not suspended get work in every 1.5 s, if there is that much work. Reads go to what was idle for longest, orders to what is least likely gray. Counting failed requests is gone. Tests: TestFloor test_most_upstreams_get_work_while_nothing_fails (both sizes failed first).

--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -37,12 +37,12 @@
 EXPLORED_PART = 0.3
 # An unproven upstream that got nothing for this long gets the next read.
 IDLE_SECONDS = 0.8
-# While this part of the requests fails, what is thought of the upstreams is not worth
-# much, and most of them get work in every span of this length.
-LEAST_FAILED_PART = 0.08
-FLOOR_PART = 0.9
+# This part of the upstreams gets work in every span of this length, also while nothing
+# fails: a loss of power showed only afterwards that a third of them had been idle.
+FLOOR_PART = 0.8
 FLOOR_SECONDS = 1.5
-LEAST_FLOOR_LOANS = 2
+# Loans a second for each upstream below which there is too little work for all.
+LEAST_FLOOR_RATE = FLOOR_PART / FLOOR_SECONDS
 LEAST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 # Span over which the rate of lending is seen, and how far it may grow in it.
@@ -114,8 +114,6 @@
         self._routes = SlowRoutes()
         self._standings: dict[UpstreamName, Standing] = {}
         self._queue: list[Waiting] = []
-        # When requests ended, in seconds, and whether they were served.
-        self._ended: deque[tuple[float, bool]] = deque(maxlen=LARGEST_RATE)
         # When slots were lent, in seconds.
         self._lent: deque[float] = deque(maxlen=LARGEST_RATE)
 
@@ -179,11 +177,14 @@
         Upstreams that shed or cannot be reached lend less than their slots promise, so
         that what was lent in the last second bounds the rate, with some room to grow.
         """
+        promised = max(1, self._count_slots(now)) / self._durations.mean
+        return min(promised, GROWTH_FACTOR * self._find_rate(now) + LEAST_RATE)
+
+    def _find_rate(self, now: float) -> float:
+        """Return the slots that were lent in the last second, as a rate a second."""
         while self._lent and self._lent[0] <= now - RATE_SECONDS:
             self._lent.popleft()
-        promised = max(1, self._count_slots(now)) / self._durations.mean
-        seen = len(self._lent) / RATE_SECONDS
-        return min(promised, GROWTH_FACTOR * seen + LEAST_RATE)
+        return len(self._lent) / RATE_SECONDS
 
     def _count_slots(self, now: float) -> int:
         """Return the slots of the upstreams that are not suspended."""
@@ -212,8 +213,6 @@
         """Count how a run ended, for its upstream and its route."""
         started = loan.started if loan else now - returned.seconds
         outcome = returned.outcome
-        if outcome is not Outcome.CANCELLED:
-            self._ended.append((now, outcome is Outcome.WHOLE))
         if outcome is Outcome.WHOLE:
             self._durations.add(returned.seconds)
             if loan is not None:
@@ -250,7 +249,6 @@
             if lent is not None:
                 decided.append(lent)
             elif now >= item.until:
-                self._ended.append((now, False))
                 decided.append(self._refuse(item.asked, Reason.BUSY))
             else:
                 left.append(item)
@@ -315,9 +313,11 @@
     def _choose(self, item: Waiting, now: float) -> Standing | None:
         asked = item.asked
         tiers = self._sort(asked, now)
-        if asked.repeatable and not asked.repeat:
+        proves = asked.repeatable and not asked.repeat
+        trusted = None if asked.repeat else self._find_idle(tiers, proves, now)
+        if trusted is None and proves:
             trusted = self._choose_for_proof(tiers, now)
-        else:
+        elif trusted is None:
             trusted = self._choose_safest(item, tiers, now)
         if trusted is not None:
             return trusted
@@ -335,9 +335,6 @@
         self, tiers: Mapping[Tier, list[Standing]], now: float
     ) -> Standing | None:
         """Choose for a request that may run twice: where a proof is needed most."""
-        idle = self._find_idle(tiers, now)
-        if idle is not None:
-            return idle
         proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
         if self._explores(tiers, now):
             return min(unproven, key=lambda s: (len(s.loans), s.lent_at))
@@ -354,9 +351,6 @@
 
         A slot of a proven upstream is worth a short wait as long as there is one.
         """
-        idle = self._find_idle(tiers, now)
-        if idle is not None:
-            return idle
         proven, unproven = tiers[Tier.PROVEN], tiers[Tier.UNPROVEN]
         if proven:
             return min(proven, key=lambda s: self._estimate_gray(s, now))
@@ -389,23 +383,20 @@
             return True
         return self._random.random() < EXPLORED_PART
 
-    def _find_failed_part(self, since: float) -> float:
-        """Return the part of the requests that were not served since some time."""
-        served = [is_served for at, is_served in self._ended if at > since]
-        return 1 - sum(served) / len(served) if served else 0.0
-
     def _find_idle(
-        self, tiers: Mapping[Tier, list[Standing]], now: float
+        self, tiers: Mapping[Tier, list[Standing]], proves: bool, now: float
     ) -> Standing | None:
-        """Return an upstream that must get work, so that enough of them do."""
+        """Return an upstream that must get work, so that enough of them do.
+
+        :param proves: whether the request may run twice; it goes to what was idle for
+            longest, any other to what is least likely gray.
+        """
         since = now - FLOOR_SECONDS
-        total = len(self._standings)
-        if sum(lent > since for lent in self._lent) < LEAST_FLOOR_LOANS * total:
-            return None
-        if self._find_failed_part(since) < LEAST_FAILED_PART:
+        live = [s for s in self._standings.values() if s.suspended_until <= now]
+        used = sum(item.lent_at > since for item in live)
+        if used >= FLOOR_PART * len(live):
             return None
-        used = sum(item.lent_at > since for item in self._standings.values())
-        if used >= FLOOR_PART * total:
+        if self._find_rate(now) < LEAST_FLOOR_RATE * len(live):
             return None
         idle = [
             item
@@ -413,6 +404,8 @@
             for item in tiers[tier]
             if item.lent_at <= since
         ]
+        if proves:
+            return min(idle, key=lambda s: s.lent_at, default=None)
         return min(idle, key=lambda s: self._estimate_gray(s, now), default=None)
 
     def _sort(self, asked: SlotAsked, now: float) -> dict[Tier, list[Standing]]:
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -136,6 +136,20 @@
             now += 0.03
         assert sum(at > now - 2.0 for at in used.values()) >= 4
 
+    @pytest.mark.parametrize("count", [5, 26])
+    def test_most_upstreams_get_work_while_nothing_fails(self, count):
+        # Guards against healthy upstreams that are idle when all requests in flight
+        # are lost at once: nothing fails before that shows that work must be spread.
+        fixture = Fixture(count=count)
+        now, used, lent_at = 0.0, {}, []
+        for number in range(1, 60 * count):
+            lent = fixture.lend(ask(number), now)
+            used[lent.upstream] = now
+            fixture.give_back(ask(number), lent, Outcome.WHOLE, now + 0.01, 0.01)
+            now += 0.5 / count
+            lent_at.append(sum(at > now - 2.0 for at in used.values()))
+        assert min(lent_at[6 * count :]) >= 0.7 * count
+
     def test_a_read_goes_to_an_upstream_that_was_suspended_long_ago(self):
         fixture = Fixture(count=2)
         fixture.fail("u0", 0.0)
