Try the queue of a desk only while a slot is free

Cause: tools/desk_cost.py, new, shows that a question under overload costs 2.2 ms of processor time with 40 upstreams and 12.2 ms with 160, four times as much for twice the upstreams. Each returned slot was offered to every queued question, and each try sorted all upstreams. Change: the queue is tried only while a slot of any upstream is free. Decisions are the same, since without a free slot no question gets one. Test: TestQueue test_a_queue_without_a_free_slot_is_not_tried fails first.

--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -244,10 +244,12 @@
         self._queue.sort(key=lambda item: item.rank(usual, now))
         decided: list[Addressed] = []
         left: list[Waiting] = []
+        is_open = self._is_open(now)
         for item in self._queue:
-            lent = self._serve(item, now)
+            lent = self._serve(item, now) if is_open else None
             if lent is not None:
                 decided.append(lent)
+                is_open = self._is_open(now)
             elif now >= item.until:
                 decided.append(self._refuse(item.asked, Reason.BUSY))
             else:
@@ -255,6 +257,13 @@
         self._queue = left
         return decided
 
+    def _is_open(self, now: float) -> bool:
+        """Return whether a slot is free, so that a queued question may get it.
+
+        Under overload none is, and the queue need not be tried one by one.
+        """
+        return any(item.is_open(now) for item in self._standings.values())
+
     def _find_again(self, asked: SlotAsked) -> list[Addressed] | None:
         """Return the answer to a question that was sent a second time."""
         key = (asked.asker, asked.number)
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -240,6 +240,21 @@
         assert refused > 60
         assert fixture.desk.queued < 10
 
+    def test_a_queue_without_a_free_slot_is_not_tried(self, monkeypatch):
+        # Guards against a lender whose time for a question grows with the product of
+        # its queue and its upstreams: 2.2 ms with 40 upstreams under overload.
+        fixture = Fixture(count=20)
+        for number in range(60):
+            fixture.decide(ask(number), 0.0)
+        assert fixture.desk.queued == 20
+        tried = []
+        choose = Desk._choose
+        monkeypatch.setattr(
+            Desk, "_choose", lambda *args: tried.append(args) or choose(*args)
+        )
+        fixture.desk.advance(0.01)
+        assert not tried
+
     def test_a_question_that_may_not_wait_is_refused_at_once(self):
         fixture = Fixture(count=1)
         fixture.lend(ask(1), 0.0)
--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -92,13 +92,17 @@
             del self.loans[key]
             self.suspend(now)
 
+    def is_open(self, now: float) -> bool:
+        """Return whether a slot is free for any asker."""
+        if len(self.loans) >= self.announcement.slots or now < self.avoid_until:
+            return False
+        return not (
+            self.suspension > FIRST_SUSPENSION_SECONDS and self.probation and self.loans
+        )
+
     def has_room(self, asker: str, now: float) -> bool:
         """Return whether a request of an asker may be sent now."""
-        if self.suspension > FIRST_SUSPENSION_SECONDS and self.probation and self.loans:
-            return False
-        if now < self.avoid_until or self.unreached.get(asker, now) > now:
-            return False
-        return len(self.loans) < self.announcement.slots
+        return self.is_open(now) and self.unreached.get(asker, now) <= now
 
     def rank(self, overdue: float, now: float) -> Tier:
         """Return how much the upstream is trusted.
--- /dev/null
+++ b/tools/desk_cost.py
@@ -0,0 +1,98 @@
+"""Measures what a question to a lender costs, by the number of its upstreams.
+
+    python tools/desk_cost.py
+
+Prints the processor time of one question with the return of its slot, while a part of
+the slots is in use and while the queue is full.
+"""
+
+import itertools
+import time
+from random import Random
+
+from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
+from shallotspindle_lending.crashes import Crashes
+from shallotspindle_lending.desk import Desk
+from shallotspindle_lending.records import Outcome, SlotAsked, SlotLent, SlotReturned
+from shallotspindle_registry.directory import Known
+from shallotspindle_registry.records import Announcement, State
+from shallotspindle_retries.budget import Budget
+
+SERVICE = ServiceName("catalogue")
+DOMAIN = FailureDomain("a")
+COUNTS = (5, 20, 40, 80, 160)
+QUESTIONS = 3000
+# Part of the slots that are in use; above one the rest of the questions waits.
+LOADS = (0.5, 1.5)
+RUN_SECONDS = 0.2
+
+
+def build_desk(count: int) -> Desk:
+    """Return a desk with upstreams of two slots each."""
+    desk = Desk(SERVICE, Crashes(), Random(1), Budget(0.18, 0, slack=8))
+    known = {}
+    for number in range(count):
+        name = UpstreamName(f"u{number}")
+        item = Announcement(name, SERVICE, f"{name}:80", DOMAIN, State.READY, slots=2)
+        known[name] = Known(item, 0.0)
+    desk.update(known)
+    return desk
+
+
+def measure(count: int, load: float) -> float:
+    """Return microseconds of processor time a question."""
+    desk = build_desk(count)
+    gap = RUN_SECONDS / (load * 2 * count)
+    numbers = itertools.count()
+    running: list[tuple[float, SlotLent]] = []
+    now = 0.0
+    started = time.process_time()
+    for _ in range(QUESTIONS):
+        now += gap
+        while running and running[0][0] <= now:
+            _, lent = running.pop(0)
+            returned = SlotReturned(
+                lent.number,
+                "me",
+                SERVICE,
+                DOMAIN,
+                lent.upstream,
+                Outcome.WHOLE,
+                RUN_SECONDS,
+            )
+            found = desk.give_back(returned, now)
+            running += _list_lent(found, now)
+        number = next(numbers)
+        asked = SlotAsked(
+            number,
+            "me",
+            SERVICE,
+            DOMAIN,
+            number % 3 == 0,
+            False,
+            1,
+            1.0,
+            0.5,
+            0.5,
+            number,
+        )
+        running += _list_lent(desk.ask(asked, now), now)
+    return (time.process_time() - started) / QUESTIONS * 1e6
+
+
+def _list_lent(decided, now: float) -> list[tuple[float, SlotLent]]:
+    return [
+        (now + RUN_SECONDS, item.decision)
+        for item in decided
+        if isinstance(item.decision, SlotLent)
+    ]
+
+
+def main() -> None:
+    print("upstreams", *(f"load {load}" for load in LOADS), sep="\t")
+    for count in COUNTS:
+        print(count, *(f"{measure(count, load):.0f} us" for load in LOADS), sep="\t")
+
+
+if __name__ == "__main__":
+    main()
