Answer at a planned stop what still waits or runs

The flaw is older, and needs a queue longer than what is left of the stop.

Change: from 0.8 of the stop on, what has not been sent is refused with 503, and at the end what still runs is answered with 504 in place of a closed connection. Test: TestStop test_a_planned_stop_answers_what_still_waits fails first (the connection ended).

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -33,9 +33,11 @@
 
 BACKLOG = 1024
 # Parts of the time for a stop: until idle connections are closed, until no connection
-# is accepted any more, and until the end.
+# is accepted any more, until what waits for a slot is refused, and until the end.
 IDLE_PART = 0.55
 LISTENING_PART = 0.7
+# From here on nothing waits for a slot; a queue may be longer than the time left.
+REFUSE_PART = 0.8
 END_PART = 0.93
 
 
@@ -188,12 +190,19 @@
         await self._frontend.close_listener()
         self._lifecycle.stage = Stage.CLOSED
         self._frontend.close_idle()
-        left = started + END_PART * total - self._clock.boottime()
-        if not await self._lifecycle.wait_idle(max(0.0, left)):
+        if not await self._wait_idle(started + REFUSE_PART * total):
+            self._pipeline.refuse_unsent()
+        if not await self._wait_idle(started + END_PART * total):
             logging.warning("%d requests are cut", self._lifecycle.running)
+            self._pipeline.end()
         # The last answers leave the sockets.
         await asyncio.sleep(0.05)
         logging.info("the planned stop ends")
 
+    async def _wait_idle(self, until: float) -> bool:
+        """Wait until no request runs; return whether that came in time."""
+        left = until - self._clock.boottime()
+        return await self._lifecycle.wait_idle(max(0.0, left))
+
     async def _sleep_until(self, at: float) -> None:
         await asyncio.sleep(max(0.0, at - self._clock.boottime()))
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -8,7 +8,7 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import borrowing, following, rights
-from shallotspindle_gateway.conftest import NAMES, SERVICE, MemoryStore
+from shallotspindle_gateway.conftest import BOUNDS, NAMES, SERVICE, MemoryStore
 from shallotspindle_gateway.records import Bounds
 
 
@@ -42,11 +42,11 @@
     monkeypatch.setattr(rights, "RENEWAL_SECONDS", 0.1)
 
 
-async def start(fleet, *modes):
+async def start(fleet, *modes, bounds=BOUNDS):
     """Start upstreams and one gateway that holds all rights."""
     for mode in modes:
         await fleet.add_upstream(mode)
-    daemon = await fleet.add_gateway()
+    daemon = await fleet.add_gateway(bounds=bounds)
     await fleet.await_true(lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT)
     return daemon
 
@@ -394,6 +394,25 @@
         await stopping
         assert len(upstream.runs) <= 1
 
+    async def test_a_planned_stop_answers_what_still_waits(self, fleet):
+        # Guards against requests without an answer: an upload waited 4.2 s for a slot
+        # when the time for the stop was over.
+        daemon = await start(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        (upstream,) = fleet.upstreams.values()
+        running = [asyncio.create_task(order()) for _ in range(2)]
+        await fleet.await_true(lambda: len(upstream.runs) == 2)
+        waiting = asyncio.create_task(order())
+        await asyncio.sleep(0.1)
+        await daemon.stop()
+        assert waiting.done()
+        assert (await waiting)[0] == 503
+        assert {(await item)[0] for item in running} == {504}
+        assert len(upstream.runs) == 2
+
 
 class TestReload:
     async def test_new_bounds_are_in_force_without_a_restart(self, fleet):
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -117,6 +117,9 @@
         self._executor = executor
         self._clock = clock
         self._random = random
+        # Requests that passed all checks, with what was sent for them.
+        self._runs: dict[asyncio.Task[Answer | Failed], list[Order]] = {}
+        self._refuses = False
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Take new bounds."""
@@ -198,7 +201,6 @@
     async def _execute(self, call: Call, body: Body, trace: Trace) -> Answer | Refusal:
         want = self._build_want(call, body)
         attempts = call.route.attempts if body.repeatable else 1
-
         sent: list[Order] = []
 
         def build(slot: Borrowed, seconds: float) -> Order:
@@ -206,17 +208,37 @@
             return sent[-1]
 
         running = self._executor.run(want, attempts, build, trace.sends)
-        if want.repeatable:
-            return self._conclude(await running, trace)
-        # Work with an effect goes on when its caller leaves: a cut in the middle would
-        # leave unknown whether it ran. What was not sent yet is dropped.
         task = asyncio.create_task(running)
+        self._runs[task] = sent
+        if self._refuses:
+            task.cancel()
         try:
             return self._conclude(await asyncio.shield(task), trace)
         except asyncio.CancelledError:
-            if not sent:
+            if task.cancelled():
+                return refusals.UPSTREAM_TIMEOUT if sent else refusals.NO_SLOT
+            # Work with an effect goes on when its caller leaves: a cut in the middle
+            # would leave unknown whether it ran. What was not sent yet is dropped.
+            if want.repeatable or not sent:
                 task.cancel()
             raise
+        finally:
+            del self._runs[task]
+
+    def refuse_unsent(self) -> None:
+        """Refuse what waits for a slot, now and from now on.
+
+        The process ends before a slot may come, and nothing of it has run.
+        """
+        self._refuses = True
+        for task, sent in self._runs.items():
+            if not sent:
+                task.cancel()
+
+    def end(self) -> None:
+        """Answer what still runs; whether it ran to its end stays unknown."""
+        for task in self._runs:
+            task.cancel()
 
     def _build_want(self, call: Call, body: Body) -> Want:
         request = call.request
