Cut gateways from each other in the soak

The soak silenced a gateway for the others only by pausing it. Its gateways now run by a program that drops datagrams in the directions that the soak writes into a file: both ways or only what is sent. A new kind of fault changes what a seed draws, so that a regression case names the kinds that came after it; a test holds the first faults of seed 109.

--- a/libraries/soak/shallotspindle_soak/faults.py
+++ b/libraries/soak/shallotspindle_soak/faults.py
@@ -1,5 +1,6 @@
 """Draws the faults of a soak from its seed."""
 
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -18,6 +19,7 @@
     STORE_FORGETS = "store-forgets"
     CUT = "cut"
     CUT_ONE_WAY = "cut-one-way"
+    CUT_PEERS = "cut-peers"
     RESET = "reset"
     DELAY = "delay"
     HANG = "hang"
@@ -40,6 +42,7 @@
     Fault.STORE_FORGETS: 1,
     Fault.CUT: 3,
     Fault.CUT_ONE_WAY: 2,
+    Fault.CUT_PEERS: 3,
     Fault.RESET: 2,
     Fault.DELAY: 1,
     Fault.HANG: 3,
@@ -70,14 +73,18 @@
     target: int
 
 
-def draw(seed: int, seconds: float, gap: float) -> list[Event]:
+def draw(
+    seed: int, seconds: float, gap: float, without: Set[Fault] = frozenset()
+) -> list[Event]:
     """Return the faults of a soak, in order of time.
 
     :param seconds: time in which faults begin.
     :param gap: mean time between two faults, in seconds.
+    :param without: kinds that are left out.
     """
     random = Random(seed)
-    kinds, weights = list(WEIGHTS), list(WEIGHTS.values())
+    kinds = [kind for kind in WEIGHTS if kind not in without]
+    weights = [WEIGHTS[kind] for kind in kinds]
     events = []
     at = random.expovariate(1 / gap)
     while at < seconds:
--- a/libraries/soak/shallotspindle_soak/faults_test.py
+++ b/libraries/soak/shallotspindle_soak/faults_test.py
@@ -1,4 +1,8 @@
 from shallotspindle_soak import faults
+from shallotspindle_soak.faults import Fault
+from shallotspindle_soak.regressions import REGRESSIONS
+
+FIRST_OF_109 = [Fault.CUT_ONE_WAY, Fault.CUT_ONE_WAY, Fault.CROSS]
 
 
 class TestDraw:
@@ -16,3 +20,9 @@
         times = [event.at for event in events]
         assert times == sorted(times)
         assert times[-1] < 20.2
+
+    def test_a_seed_that_failed_draws_the_same_after_new_kinds(self):
+        # Guards against a regression case that silently plays other faults.
+        (case,) = (case for case in REGRESSIONS if case.seed == 109)
+        drawn = faults.draw(case.seed, 15.0, 0.7, case.without)
+        assert [event.fault for event in drawn[:3]] == FIRST_OF_109
--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -18,6 +18,7 @@
 from shallotspindle_core.failures import Failure, FailureError
 from shallotspindle_gateway.records import Bounds
 from shallotspindle_soak.callers import Caller, Identity, Target
+from shallotspindle_soak.cutting import CUTS_VARIABLE
 from shallotspindle_soak.proxies import Proxy
 from shallotspindle_soak.records import History, Span
 from shallotspindle_soak.upstreams import Upstream
@@ -25,7 +26,7 @@
 from shallotspindle_standin.documents import RoutePlan, TeamPlan
 from shallotspindle_standin.store import StoreStandin
 
-PROGRAM = "shallotspindle_adapter.main"
+PROGRAM = "shallotspindle_soak.cutting"
 HOST = "soak.example"
 SERVICE = "catalogue"
 DOMAINS = ("a", "b")
@@ -53,6 +54,7 @@
 class Gateway:
     """One gateway process with its own way to the store.
 
+    :param cuts: file with the directions in which it is cut from the others.
     :param lock: held while the process is replaced.
     """
 
@@ -60,6 +62,7 @@
     ip: str
     settings: Path
     log: Path
+    cuts: Path
     store: Proxy
     process: asyncio.subprocess.Process | None = None
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -161,11 +164,16 @@
         settings = self._folder / f"{name}.json"
         document = documents.build_settings(name, domain, ip, ports, address, BOUNDS)
         settings.write_bytes(document)
-        return Gateway(name, ip, settings, self._folder / f"{name}.log", proxy)
+        log, cuts = (self._folder / f"{name}.{end}" for end in ("log", "cuts"))
+        return Gateway(name, ip, settings, log, cuts, proxy)
 
     async def start_gateway(self, gateway: Gateway) -> None:
         """Start the process of a gateway."""
-        environment = {**os.environ, SETTINGS_VARIABLE: str(gateway.settings)}
+        environment = {
+            **os.environ,
+            SETTINGS_VARIABLE: str(gateway.settings),
+            CUTS_VARIABLE: str(gateway.cuts),
+        }
         with gateway.log.open("ab") as log:
             gateway.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from shallotspindle_soak.cutting import RECEIVED, SENT
 from shallotspindle_soak.faults import Event, Fault
 from shallotspindle_soak.fleet import Fleet, Gateway, Reached
 from shallotspindle_soak.records import Span
@@ -44,6 +45,7 @@
             Fault.CUT_ONE_WAY: self._cut_upstream,
             Fault.RESET: self._reset,
             Fault.DELAY: self._delay,
+            Fault.CUT_PEERS: self._cut_peers,
             Fault.DRAIN: self._drain,
             Fault.WITHDRAW: self._withdraw,
             Fault.CHANGE: self._change,
@@ -129,6 +131,16 @@
         gateway.store.reset()
         self._fleet.note_disturbed(gateway.name, started)
 
+    async def _cut_peers(self, event: Event) -> None:
+        """Cut a gateway from the others; every second time only what it sends."""
+        gateway = self._find_gateway(event)
+        started = self._fleet.clock.boottime()
+        cuts = (SENT, RECEIVED) if event.target // 4 % 2 else (SENT,)
+        gateway.cuts.write_text(" ".join(cuts))
+        await asyncio.sleep(event.seconds)
+        gateway.cuts.unlink(missing_ok=True)
+        self._fleet.note_disturbed(gateway.name, started)
+
     async def _cut_upstream(self, event: Event) -> None:
         reached = self._find_upstream(event)
         if reached is None:
--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -19,7 +19,7 @@
 from shallotspindle_soak.injection import Injection
 from shallotspindle_soak.promises import Broken
 from shallotspindle_soak.records import History
-from shallotspindle_soak.regressions import REGRESSIONS
+from shallotspindle_soak.regressions import REGRESSIONS, Regression
 
 GATEWAYS = 4
 UPSTREAMS = 8
@@ -82,9 +82,10 @@
     """
     logging.set_verbosity(logging.WARNING)
     failed = 0
-    for seed in seeds or [item.seed for item in REGRESSIONS]:
+    cases = [Regression(seed, "") for seed in seeds or ()] or REGRESSIONS
+    for seed, without in ((case.seed, case.without) for case in cases):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        events = faults.draw(seed, seconds, gap)
+        events = faults.draw(seed, seconds, gap, without)
         history = asyncio.run(play(events, seed, folder, SystemClock()))
         broken = promises.check_all(history)
         failed += bool(broken)
