Cancel a question for a slot that its asker gives up

The idle ones were doubtful for two loans that were 2 to 5 s old and that no request used: the asker had waited 0.1 s beyond its wait, taken that for a refusal and not told the lender, whose decision then came over a choked link and was ignored. The loan stayed for the time of the request, its upstream looked gray, and at its end was suspended.

Change: a question that is given up while it is queued is cancelled at the lender. Test: borrowing_test TestLateDecisions fails first.

--- a/libraries/gateway/shallotspindle_gateway/borrowing.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing.py
@@ -251,7 +251,11 @@
     async def _borrow_from(
         self, lender: str, domain: FailureDomain, want: Want, wait: float
     ) -> Borrowed | SlotRefused | None:
-        """Return the lender's decision, or None if it is silent."""
+        """Return the lender's decision, or None if it is silent.
+
+        A question that this instance gives up is cancelled: the decision may still be
+        on its way, and a slot that nobody uses makes its upstream look gray.
+        """
         asked = self._build_question(domain, want, wait)
         decision = asyncio.get_running_loop().create_future()
         self._decisions[asked.number] = decision
@@ -274,6 +278,8 @@
                 answer.address,
                 answer.hedge_seconds,
             )
+        if isinstance(answer, SlotQueued):
+            return SlotRefused(asked.number, Reason.BUSY, HEDGE_SECONDS)
         return answer if isinstance(answer, SlotRefused) else None
 
     async def _ask(self, lender: str, asked: SlotAsked) -> Any:
@@ -283,6 +289,7 @@
     async def _await_decision(
         self, lender: str, asked: SlotAsked, decision: asyncio.Future
     ) -> Any:
+        """Return the decision, ``SlotQueued`` if it is late, or None if none comes."""
         until = self._clock.boottime() + asked.wait_seconds + ANSWER_SECONDS
         while self._clock.boottime() < until:
             done, _ = await asyncio.wait((decision,), timeout=REPEAT_SECONDS)
@@ -291,7 +298,7 @@
             answer = await self._ask(lender, asked)
             if not isinstance(answer, SlotQueued):
                 return answer
-        return SlotRefused(asked.number, Reason.BUSY, HEDGE_SECONDS)
+        return SlotQueued(asked.number)
 
     async def _borrow_alone(self, want: Want) -> Borrowed | SlotRefused | None:
         """Lend to oneself; every lender is silent.
--- a/libraries/gateway/shallotspindle_gateway/borrowing_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing_test.py
@@ -1,10 +1,69 @@
+from dataclasses import dataclass, field
 from random import Random
 
-from shallotspindle_core.identifiers import FailureDomain
-from shallotspindle_gateway.borrowing import draw_domain
+from shallotspindle_core.identifiers import FailureDomain, ServiceName
+from shallotspindle_environment.clock import SystemClock
+from shallotspindle_gateway.borrowing import Borrower, Want, draw_domain
+from shallotspindle_gateway.records import Member
+from shallotspindle_lending.records import (
+    Outcome,
+    Reason,
+    SlotQueued,
+    SlotRefused,
+    SlotReturned,
+)
 
 A, B, C = (FailureDomain(name) for name in "abc")
 DRAWS = 4000
+SERVICE = ServiceName("catalogue")
+OWN = Member("10.0.0.1:1", A, 100.0)
+LENDER = Member("10.0.0.2:1", A, 500.0)
+
+
+class Directory:
+    def list_domains(self, service):
+        return {A: 3}
+
+
+class Follower:
+    members = {"own": OWN, "lender": LENDER}
+    upstreams = Directory()
+
+
+@dataclass
+class SlowLender:
+    """Peers whose lender queues every question and never decides in time."""
+
+    sent: list = field(default_factory=list)
+
+    def register(self, message_type, handler):
+        """Take no handler: nothing is told."""
+
+    async def request(self, address, message, timeout):
+        return SlotQueued(message.number)
+
+    def send(self, address, message):
+        self.sent.append((address, message))
+
+
+def build_want(seconds: float) -> Want:
+    now = SystemClock().boottime()
+    return Want(SERVICE, False, False, 1, False, now + seconds, now + seconds, 1, 1)
+
+
+class TestLateDecisions:
+    async def test_a_question_that_is_given_up_is_cancelled(self):
+        # Guards against slots that are lent to nobody: their upstream looked gray for
+        # the 5 s of an upload, and a service of 15 upstreams lost a third of them.
+        peers = SlowLender()
+        borrower = Borrower(OWN, Follower(), peers, SystemClock(), Random(1))
+        refused = await borrower.borrow(build_want(0.2))
+        assert isinstance(refused, SlotRefused)
+        assert refused.reason is Reason.BUSY
+        cancelled = [message for _, message in peers.sent]
+        assert cancelled
+        assert all(isinstance(message, SlotReturned) for message in cancelled)
+        assert {message.outcome for message in cancelled} == {Outcome.CANCELLED}
 
 
 def count_draws(counts, own, populated) -> dict[FailureDomain | None, float]:
