Call what stands already in the desk measurement and the soak

tools/desk_cost.py built its desk and its upstreams as bench.lending_play does; it now calls build_default and announce there, which uses the module's DOMAIN. The soak stated its bounds twice, for the gateways and for the checks; the gateways are now told the constants of the checks (the same values). Six faults recorded their time by the same two lines; Fleet.disturbing does so.

--- a/libraries/bench/shallotspindle_bench/lending_play.py
+++ b/libraries/bench/shallotspindle_bench/lending_play.py
@@ -145,7 +145,7 @@
         names = [UpstreamName(f"u{n}") for n in range(world.upstreams)]
         self._phases = {name: self._random.random() for name in names}
         self._busy: dict[UpstreamName, list[float]] = {name: [] for name in names}
-        self._desk.update({name: _announce(name, world.slots) for name in names})
+        self._desk.update({name: announce(name, world.slots) for name in names})
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
@@ -317,8 +317,7 @@
     return Desk(SERVICE, Crashes(), random, Budget(0.18, 0, slack=8))
 
 
-def _announce(name: UpstreamName, slots: int) -> Known:
-    item = Announcement(
-        name, SERVICE, f"{name}:80", FailureDomain("a"), State.READY, slots=slots
-    )
+def announce(name: UpstreamName, slots: int) -> Known:
+    """Return an upstream that has been known for some time and is not cold."""
+    item = Announcement(name, SERVICE, f"{name}:80", DOMAIN, State.READY, slots=slots)
     return Known(item, -10.0)
--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -17,6 +19,7 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.failures import Failure, FailureError
 from shallotspindle_gateway.records import Bounds
+from shallotspindle_soak import promises
 from shallotspindle_soak.callers import Caller, Identity, Target
 from shallotspindle_soak.cutting import CUTS_VARIABLE
 from shallotspindle_soak.proxies import Proxy
@@ -32,7 +35,15 @@
 DOMAINS = ("a", "b")
 CALLERS_PORT = 8689
 READINESS_PORT = 8687
-BOUNDS = Bounds(stop_seconds=3.0, retry_slack=10, rate_window_seconds=5.0)
+# What the gateways are told is what the checks hold them to.
+BOUNDS = Bounds(
+    key_seconds=promises.KEY_SECONDS,
+    stop_seconds=3.0,
+    retry_ratio=promises.REPEAT_RATIO,
+    retry_slack=promises.REPEAT_SLACK,
+    retry_window_seconds=promises.REPEAT_WINDOW_SECONDS,
+    rate_window_seconds=promises.WINDOW_SECONDS,
+)
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
 WITHDRAWN_PART = 0.15
@@ -250,8 +261,11 @@
         self.history.withdrawn[old] = self.clock.boottime()
         self._withdrawn.append(Identity(name, old))
 
-    def note_disturbed(self, gateway: str, started: float) -> None:
-        """Report that a fault at a gateway, or at all, is over."""
+    @contextmanager
+    def disturbing(self, gateway: str) -> Iterator[None]:
+        """Record the time of a fault at a gateway, or with an empty name at all."""
+        started = self.clock.boottime()
+        yield
         span = Span(started, self.clock.boottime())
         self.history.disturbed.setdefault(gateway, []).append(span)
 
--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -75,22 +75,20 @@
 
     async def _pause(self, event: Event) -> None:
         gateway = self._find_gateway(event)
-        started = self._fleet.clock.boottime()
-        gateway.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(event.seconds)
-        gateway.send_signal(signal.SIGCONT)
-        self._fleet.note_disturbed(gateway.name, started)
+        with self._fleet.disturbing(gateway.name):
+            gateway.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(event.seconds)
+            gateway.send_signal(signal.SIGCONT)
 
     async def _kill(self, event: Event) -> None:
         gateway = self._find_gateway(event)
         async with gateway.lock:
-            started = self._fleet.clock.boottime()
-            gateway.send_signal(signal.SIGKILL)
-            await gateway.process.wait()
-            await asyncio.sleep(RESTART_SECONDS)
-            await self._fleet.start_gateway(gateway)
-            await self._fleet.await_ready(gateway)
-            self._fleet.note_disturbed(gateway.name, started)
+            with self._fleet.disturbing(gateway.name):
+                gateway.send_signal(signal.SIGKILL)
+                await gateway.process.wait()
+                await asyncio.sleep(RESTART_SECONDS)
+                await self._fleet.start_gateway(gateway)
+                await self._fleet.await_ready(gateway)
 
     async def _stop(self, event: Event) -> None:
         gateway = self._find_gateway(event)
@@ -108,38 +106,35 @@
 
     async def _harm_store(self, event: Event) -> None:
         faults = self._fleet.store.faults
-        started = self._fleet.clock.boottime()
-        faults.is_away = faults.is_away or event.fault is Fault.STORE_AWAY
-        if event.fault is Fault.STORE_SLOW:
-            faults.delay = SLOW_STORE_SECONDS
-        if event.fault is Fault.STORE_LOSES:
-            faults.lost_part = LOST_PART
-        await asyncio.sleep(event.seconds)
-        faults.is_away = False
-        faults.delay = faults.lost_part = 0.0
-        self._fleet.note_disturbed("", started)
+        with self._fleet.disturbing(""):
+            faults.is_away = faults.is_away or event.fault is Fault.STORE_AWAY
+            if event.fault is Fault.STORE_SLOW:
+                faults.delay = SLOW_STORE_SECONDS
+            if event.fault is Fault.STORE_LOSES:
+                faults.lost_part = LOST_PART
+            await asyncio.sleep(event.seconds)
+            faults.is_away = False
+            faults.delay = faults.lost_part = 0.0
 
     async def _forget(self, event: Event) -> None:
         self._fleet.store.forget_history()
 
     async def _cut(self, event: Event) -> None:
         gateway = self._find_gateway(event)
-        started = self._fleet.clock.boottime()
-        gateway.store.harm.cuts_up = gateway.store.harm.cuts_down = True
-        await asyncio.sleep(event.seconds)
-        gateway.store.harm.clear()
-        gateway.store.reset()
-        self._fleet.note_disturbed(gateway.name, started)
+        with self._fleet.disturbing(gateway.name):
+            gateway.store.harm.cuts_up = gateway.store.harm.cuts_down = True
+            await asyncio.sleep(event.seconds)
+            gateway.store.harm.clear()
+            gateway.store.reset()
 
     async def _cut_peers(self, event: Event) -> None:
         """Cut a gateway from the others; every second time only what it sends."""
         gateway = self._find_gateway(event)
-        started = self._fleet.clock.boottime()
         cuts = (SENT, RECEIVED) if event.target // 4 % 2 else (SENT,)
-        gateway.cuts.write_text(" ".join(cuts))
-        await asyncio.sleep(event.seconds)
-        gateway.cuts.unlink(missing_ok=True)
-        self._fleet.note_disturbed(gateway.name, started)
+        with self._fleet.disturbing(gateway.name):
+            gateway.cuts.write_text(" ".join(cuts))
+            await asyncio.sleep(event.seconds)
+            gateway.cuts.unlink(missing_ok=True)
 
     async def _cut_upstream(self, event: Event) -> None:
         reached = self._find_upstream(event)
@@ -157,9 +152,8 @@
             reached.proxy.reset()
             return
         gateway = self._find_gateway(event)
-        started = self._fleet.clock.boottime()
-        gateway.store.reset()
-        self._fleet.note_disturbed(gateway.name, started)
+        with self._fleet.disturbing(gateway.name):
+            gateway.store.reset()
 
     async def _delay(self, event: Event) -> None:
         reached = self._find_upstream(event)
--- a/tools/desk_cost.py
+++ b/tools/desk_cost.py
@@ -10,16 +10,16 @@
 import time
 from random import Random
 
-from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
-from shallotspindle_lending.crashes import Crashes
+from shallotspindle_bench.lending_play import (
+    DOMAIN,
+    SERVICE,
+    announce,
+    build_default,
+)
+from shallotspindle_core.identifiers import UpstreamName
 from shallotspindle_lending.desk import Desk
 from shallotspindle_lending.records import Outcome, SlotAsked, SlotLent, SlotReturned
-from shallotspindle_registry.directory import Known
-from shallotspindle_registry.records import Announcement, State
-from shallotspindle_retries.budget import Budget
 
-SERVICE = ServiceName("catalogue")
-DOMAIN = FailureDomain("a")
 COUNTS = (5, 20, 40, 80, 160)
 QUESTIONS = 3000
 # Part of the slots that are in use; above one the rest of the questions waits.
@@ -29,13 +29,9 @@
 
 def build_desk(count: int) -> Desk:
     """Return a desk with upstreams of two slots each."""
-    desk = Desk(SERVICE, Crashes(), Random(1), Budget(0.18, 0, slack=8))
-    known = {}
-    for number in range(count):
-        name = UpstreamName(f"u{number}")
-        item = Announcement(name, SERVICE, f"{name}:80", DOMAIN, State.READY, slots=2)
-        known[name] = Known(item, 0.0)
-    desk.update(known)
+    desk = build_default(Random(1))
+    names = [UpstreamName(f"u{number}") for number in range(count)]
+    desk.update({name: announce(name, slots=2) for name in names})
     return desk
 
 
