--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -45,6 +45,8 @@
 SERVICE = ServiceName("catalogue")
 SALT = b"0123456789abcdef"
 READY_SECONDS = 10.0
+# More than the sockets between a gateway and its caller hold.
+LARGE_BYTES = 16 * 1024 * 1024
 BOUNDS = Bounds()
 
 
@@ -214,6 +216,8 @@
             await response.write(b"half")
             request.transport.close()
             return response
+        if self.mode == "large":
+            return web.Response(body=bytes(LARGE_BYTES), headers=fields)
         status = 500 if self.mode == "error" else 200
         return web.Response(status=status, body=b"answer " + body, headers=fields)
 
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
@@ -8,7 +9,13 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import borrowing, following, rights
-from shallotspindle_gateway.conftest import BOUNDS, NAMES, SERVICE, MemoryStore
+from shallotspindle_gateway.conftest import (
+    BOUNDS,
+    LARGE_BYTES,
+    NAMES,
+    SERVICE,
+    MemoryStore,
+)
 from shallotspindle_gateway.records import Bounds
 
 
@@ -51,6 +58,46 @@
     return daemon
 
 
+class RawCaller:
+    """Caller that writes and reads at its own pace."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def connect(cls, daemon, receive_bytes=65536):
+        made = socket.socket()
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        made.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(made, ("127.0.0.1", daemon.callers_port))
+        return cls(*await asyncio.open_connection(sock=made, limit=receive_bytes))
+
+    def write(self, data):
+        self._writer.write(data)
+
+    async def read(self):
+        """Return all bytes until the connection ends."""
+        try:
+            return await self._reader.read()
+        finally:
+            self._writer.close()
+
+
+def build_order(body):
+    """Return the bytes of a request with an effect."""
+    lines = (
+        "POST /orders/1 HTTP/1.1",
+        "Host: soak.example",
+        f"{NAMES.request_id}: raw",
+        f"{NAMES.deadline}: 5000",
+        f"Authorization: {NAMES.key_scheme} k1",
+        f"Content-Length: {len(body)}",
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 class TestAnswers:
     async def test_a_whole_answer_comes_back_unchanged(self, fleet):
         daemon = await start(fleet, "whole")
@@ -413,6 +460,66 @@
         assert {(await item)[0] for item in running} == {504}
         assert len(upstream.runs) == 2
 
+    async def test_a_late_request_that_may_outlast_the_stop_runs_nowhere(self, fleet):
+        # Guards against work that a planned stop breaks off at its upstream.
+        await start(fleet, "hang")
+        (upstream,) = fleet.upstreams.values()
+        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(0.6)
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"1"))
+        answer = await caller.read()
+        await stopping
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close" in answer
+        assert upstream.runs == []
+
+    async def test_a_planned_stop_answers_a_body_that_still_arrives(self, fleet):
+        # Guards against a closed connection under an upload over a slow link.
+        daemon = await start(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"x" * 1000)[:-500])
+        await fleet.await_true(lambda: daemon._lifecycle.running == 1)
+        answering = asyncio.create_task(caller.read())
+        await daemon.stop()
+        assert (await answering).startswith(b"HTTP/1.1 503 ")
+
+    async def test_a_planned_stop_refuses_what_upstreams_shed(self, fleet):
+        # Guards against an unknown outcome (504) where no upstream ran the request.
+        daemon = await start(fleet, "shed", bounds=Bounds(stop_seconds=1.0))
+        await fleet.add_upstream("hang")
+        await fleet.await_true(
+            lambda: len(daemon.follower.upstreams.list_usable(SERVICE)) == 2
+        )
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        hanging = fleet.upstreams["u1"]
+        sends = [asyncio.create_task(order()) for _ in range(6)]
+        await fleet.await_true(lambda: len(hanging.runs) == 2)
+        await asyncio.sleep(0.1)
+        await daemon.stop()
+        statuses = sorted([(await item)[0] for item in sends])
+        assert statuses == [503] * 4 + [504] * 2
+
+    async def test_a_planned_stop_waits_until_an_answer_is_delivered(self, fleet):
+        # Guards against an answer that is cut while a slow link carries it.
+        daemon = await start(fleet, "large", bounds=Bounds(stop_seconds=2.0))
+        caller = await RawCaller.connect(daemon, receive_bytes=4096)
+        caller.write(build_order(b"1"))
+        (upstream,) = fleet.upstreams.values()
+        await fleet.await_true(lambda: upstream.runs)
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(1.6)
+        assert not stopping.done()
+        answering = asyncio.create_task(caller.read())
+        await stopping
+        answer = await answering
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert len(answer) > LARGE_BYTES
+
 
 class TestReload:
     async def test_new_bounds_are_in_force_without_a_restart(self, fleet):
