--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import socket
 from dataclasses import replace
 
@@ -460,6 +461,21 @@
         assert {(await item)[0] for item in running} == {504}
         assert len(upstream.runs) == 2
 
+    async def test_the_log_tells_how_far_a_request_came(self, fleet, capsys):
+        # Guards against requests of a planned stop whose end nothing explains.
+        daemon = await start(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        orders = [asyncio.create_task(order()) for _ in range(3)]
+        await asyncio.sleep(0.2)
+        await daemon.stop()
+        await asyncio.gather(*orders)
+        lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+        steps = sorted(line["step"] for line in lines if line["route"] == "orders")
+        assert steps == ["sent", "sent", "slot"]
+
     async def test_a_late_request_that_may_outlast_the_stop_runs_nowhere(self, fleet):
         # Guards against work that a planned stop breaks off at its upstream.
         await start(fleet, "hang")
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 from aiohttp import web
 
@@ -60,11 +61,22 @@
     until: float
 
 
+class Step(StrEnum):
+    """How far a request came; ``SENT`` once an upstream may have got it."""
+
+    CHECKS = "checks"
+    BODY = "body"
+    TOKEN = "token"
+    SLOT = "slot"
+    SENT = "sent"
+
+
 @dataclass(slots=True)
 class Trace:
     """What the log says of a request.
 
     :param age: time since the last confirmation of the configuration, in seconds.
+    :param step: where the request was when it ended.
     :param no_slot: why no slot was lent, if that ended the request.
     """
 
@@ -75,6 +87,7 @@
     team: str = ""
     service: str = ""
     no_slot: str = ""
+    step: Step = Step.CHECKS
     sends: list[Sent] = field(default_factory=list)
 
 
@@ -131,10 +144,12 @@
         call = self._check(request, trace, arrived)
         if isinstance(call, Refusal):
             return call
+        trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
         body = await bodies.read_body(request, largest)
         if isinstance(body, BodyFault):
             return BODY_REFUSALS[body]
+        trace.step = Step.TOKEN
         refused = await self._acquire(call)
         if refused is not None:
             return refused
@@ -199,11 +214,13 @@
         return refusals.RATE_UNKNOWN
 
     async def _execute(self, call: Call, body: Body, trace: Trace) -> Answer | Refusal:
+        trace.step = Step.SLOT
         want = self._build_want(call, body)
         attempts = call.route.attempts if body.repeatable else 1
         sent: list[Order] = []
 
         def build(slot: Borrowed, seconds: float) -> Order:
+            trace.step = Step.SENT
             sent.append(self._build_order(call, body, slot, seconds))
             return sent[-1]
 
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -76,6 +76,7 @@
             "status": status,
             "refusal": kind,
             "seconds": round(seconds, 4),
+            "step": trace.step.value,
             "route": trace.route,
             "team": trace.team,
             "service": trace.service,
