Refuse late in a planned stop what may outlast it

What callers see: a request that comes when the balancer has long known of the stop is sent to an upstream, is broken off there when the process ends, and gets 504; an order may have run. The users count it as lost. Cause: until 0.7 of the stop each request on an open or new connection was served like any other, whatever its own time. Change: `StopPlan.admits` decides: while the balancer learns of the stop (half of it, 3 s at most) all are served, later only those whose own time ends before the process does. Others get 503 and return to another instance at once. The times of a stop are in `stopping`, without socket or loop.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -29,16 +29,10 @@
 from shallotspindle_gateway.renewals import Renewals
 from shallotspindle_gateway.reporting import Reporter
 from shallotspindle_gateway.rights import Rights
+from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_gateway.storage import Decoder, Store
 
 BACKLOG = 1024
-# Parts of the time for a stop: until idle connections are closed, until no connection
-# is accepted any more, until what waits for a slot is refused, and until the end.
-IDLE_PART = 0.55
-LISTENING_PART = 0.7
-# From here on nothing waits for a slot; a queue may be longer than the time left.
-REFUSE_PART = 0.8
-END_PART = 0.93
 
 
 def bind_stream(endpoint: Endpoint) -> socket.socket:
@@ -177,22 +171,22 @@
 
     async def stop(self) -> None:
         """Stop within the time for it, and cut no request."""
-        started = self._clock.boottime()
-        total = self._settings.bounds.stop_seconds
+        plan = StopPlan(self._clock.boottime(), self._settings.bounds.stop_seconds)
         logging.info(
             "the planned stop begins, %d requests run", self._lifecycle.running
         )
         self._lifecycle.stage = Stage.STOPPING
+        self._pipeline.begin_stop(plan)
         await self.rights.leave()
-        await self._sleep_until(started + IDLE_PART * total)
+        await self._sleep_until(plan.close_idle_at)
         self._frontend.close_idle()
-        await self._sleep_until(started + LISTENING_PART * total)
+        await self._sleep_until(plan.close_listener_at)
         await self._frontend.close_listener()
         self._lifecycle.stage = Stage.CLOSED
         self._frontend.close_idle()
-        if not await self._wait_idle(started + REFUSE_PART * total):
+        if not await self._wait_idle(plan.refuse_unsent_at):
             self._pipeline.refuse_unsent()
-        if not await self._wait_idle(started + END_PART * total):
+        if not await self._wait_idle(plan.end_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
             self._pipeline.end()
         # The last answers leave the sockets.
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -26,6 +26,7 @@
 from shallotspindle_gateway.messages import TokenDenied, TokenGiven
 from shallotspindle_gateway.records import Bounds, Deployment, Settings
 from shallotspindle_gateway.refusals import Refusal
+from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_keys import directory
 from shallotspindle_lending.records import Outcome, Reason
 from shallotspindle_routing import routes
@@ -132,6 +133,7 @@
         self._random = random
         # Requests that passed all checks, with what was sent for them.
         self._runs: dict[asyncio.Task[Answer | Failed], list[Order]] = {}
+        self._stop: StopPlan | None = None
         self._refuses = False
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -144,6 +146,8 @@
         call = self._check(request, trace, arrived)
         if isinstance(call, Refusal):
             return call
+        if not self._admits(call):
+            return refusals.STOPPING
         trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
         body = await bodies.read_body(request, largest)
@@ -157,6 +161,9 @@
             return refusals.STALE
         return await self._execute(call, body, trace)
 
+    def _admits(self, call: Call) -> bool:
+        return self._stop is None or self._stop.admits(call.arrived, call.until)
+
     def is_fresh(self) -> bool:
         """Return whether a withdrawn key would be known here."""
         age = self._follower.find_age(self._clock.boottime())
@@ -233,7 +240,7 @@
             return self._conclude(await asyncio.shield(task), trace)
         except asyncio.CancelledError:
             if task.cancelled():
-                return refusals.UPSTREAM_TIMEOUT if sent else refusals.NO_SLOT
+                return refusals.UPSTREAM_TIMEOUT if sent else refusals.STOPPING
             # Work with an effect goes on when its caller leaves: a cut in the middle
             # would leave unknown whether it ran. What was not sent yet is dropped.
             if want.repeatable or not sent:
@@ -242,6 +249,10 @@
         finally:
             del self._runs[task]
 
+    def begin_stop(self, plan: StopPlan) -> None:
+        """Refuse from now on what may outlast the stop."""
+        self._stop = plan
+
     def refuse_unsent(self) -> None:
         """Refuse what waits for a slot, now and from now on.
 
