Answer at a planned stop whatever a request waits for

What callers see: an upload whose body still arrives, or that waits for a token, when the process ends gets a closed connection; one that upstreams shed and that waits for the next slot gets 504 at the end, although nothing ran. Cause: the stop knew only requests that had reached the executor, and took a request for sent once any send had begun. Change: each request that passed the checks is one task of the pipeline, from its body to its answer. `Running.may_have_run` tells from its sends whether an upstream may have run it; all others are refused with 503 at 0.8 of the stop. Ruled out: waiting longer for bodies; what is read after 0.8 could not run in time.

--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -43,6 +43,8 @@
     BodyFault.SLOW: refusals.SLOW_CALLER,
     BodyFault.TOO_LARGE: refusals.BODY_TOO_LARGE,
 }
+# After these an upstream certainly did not run the request.
+NOT_RUN_OUTCOMES = frozenset({Outcome.MISDIRECTED, Outcome.NOT_CONNECTED, Outcome.SHED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,26 @@
     sends: list[Sent] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Running:
+    """A request that passed all checks.
+
+    :param orders: number of its sends to upstreams, the one on its way included.
+    """
+
+    trace: Trace
+    repeatable: bool = False
+    orders: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request, or still may."""
+        ended = self.trace.sends
+        if self.orders > len(ended):
+            return True
+        return any(sent.outcome not in NOT_RUN_OUTCOMES for sent in ended)
+
+
 def choose_service(route: Route, random: RandomSource) -> ServiceName:
     """Draw the service of a request in proportion to the weights of a route."""
     if not route.split:
@@ -131,8 +153,7 @@
         self._executor = executor
         self._clock = clock
         self._random = random
-        # Requests that passed all checks, with what was sent for them.
-        self._runs: dict[asyncio.Task[Answer | Failed], list[Order]] = {}
+        self._running: dict[asyncio.Task[Answer | Refusal], Running] = {}
         self._stop: StopPlan | None = None
         self._refuses = False
 
@@ -146,23 +167,40 @@
         call = self._check(request, trace, arrived)
         if isinstance(call, Refusal):
             return call
-        if not self._admits(call):
+        if self._refuses or not self._admits(call):
             return refusals.STOPPING
-        trace.step = Step.BODY
+        running = Running(trace)
+        task = asyncio.create_task(self._run(call, running))
+        self._running[task] = running
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return self._conclude_stop(running)
+            # Work with an effect goes on when its caller leaves: a cut in the middle
+            # would leave unknown whether it ran. What was not sent yet is dropped.
+            if running.repeatable or not running.may_have_run:
+                task.cancel()
+            raise
+        finally:
+            del self._running[task]
+
+    def _admits(self, call: Call) -> bool:
+        return self._stop is None or self._stop.admits(call.arrived, call.until)
+
+    async def _run(self, call: Call, running: Running) -> Answer | Refusal:
+        running.trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
-        body = await bodies.read_body(request, largest)
+        body = await bodies.read_body(call.request, largest)
         if isinstance(body, BodyFault):
             return BODY_REFUSALS[body]
-        trace.step = Step.TOKEN
+        running.trace.step = Step.TOKEN
         refused = await self._acquire(call)
         if refused is not None:
             return refused
         if call.team is not None and not self.is_fresh():
             return refusals.STALE
-        return await self._execute(call, body, trace)
-
-    def _admits(self, call: Call) -> bool:
-        return self._stop is None or self._stop.admits(call.arrived, call.until)
+        return await self._execute(call, body, running)
 
     def is_fresh(self) -> bool:
         """Return whether a withdrawn key would be known here."""
@@ -220,54 +258,48 @@
             return replace(refusals.RATE_EXCEEDED, retry_after=max(0.05, wait))
         return refusals.RATE_UNKNOWN
 
-    async def _execute(self, call: Call, body: Body, trace: Trace) -> Answer | Refusal:
+    async def _execute(
+        self, call: Call, body: Body, running: Running
+    ) -> Answer | Refusal:
+        trace = running.trace
         trace.step = Step.SLOT
         want = self._build_want(call, body)
+        running.repeatable = want.repeatable
         attempts = call.route.attempts if body.repeatable else 1
-        sent: list[Order] = []
 
         def build(slot: Borrowed, seconds: float) -> Order:
             trace.step = Step.SENT
-            sent.append(self._build_order(call, body, slot, seconds))
-            return sent[-1]
+            running.orders += 1
+            return self._build_order(call, body, slot, seconds)
 
-        running = self._executor.run(want, attempts, build, trace.sends)
-        task = asyncio.create_task(running)
-        self._runs[task] = sent
-        if self._refuses:
-            task.cancel()
-        try:
-            return self._conclude(await asyncio.shield(task), trace)
-        except asyncio.CancelledError:
-            if task.cancelled():
-                return refusals.UPSTREAM_TIMEOUT if sent else refusals.STOPPING
-            # Work with an effect goes on when its caller leaves: a cut in the middle
-            # would leave unknown whether it ran. What was not sent yet is dropped.
-            if want.repeatable or not sent:
-                task.cancel()
-            raise
-        finally:
-            del self._runs[task]
+        result = await self._executor.run(want, attempts, build, trace.sends)
+        return self._conclude(result, trace)
 
     def begin_stop(self, plan: StopPlan) -> None:
         """Refuse from now on what may outlast the stop."""
         self._stop = plan
 
     def refuse_unsent(self) -> None:
-        """Refuse what waits for a slot, now and from now on.
+        """Refuse what did not run, now and from now on.
 
-        The process ends before a slot may come, and nothing of it has run.
+        The process ends before its body, its token or its slot may come.
         """
         self._refuses = True
-        for task, sent in self._runs.items():
-            if not sent:
+        for task, running in self._running.items():
+            if not running.may_have_run:
                 task.cancel()
 
     def end(self) -> None:
         """Answer what still runs; whether it ran to its end stays unknown."""
-        for task in self._runs:
+        for task in self._running:
             task.cancel()
 
+    @staticmethod
+    def _conclude_stop(running: Running) -> Refusal:
+        if running.may_have_run:
+            return refusals.UPSTREAM_TIMEOUT
+        return refusals.STOPPING
+
     def _build_want(self, call: Call, body: Body) -> Want:
         request = call.request
         team = call.team.name if call.team else NO_TEAM
