Wait at a planned stop until answers have left

What callers see: over a slow link an answer is cut when the process ends. Cause: a request counted as ended when its handler returned; the process ended 0.05 s later with the answer in its socket.

--- a/libraries/entry/shallotspindle_entry/callers.py
+++ b/libraries/entry/shallotspindle_entry/callers.py
@@ -41,9 +41,11 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is in work or has begun to arrive."""
+        """Whether no request is in work or arrives, and every answer has left."""
         waits = self._waiter is not None and not self._messages
-        return waits and self._header_timer is None
+        if not waits or self._header_timer is not None:
+            return False
+        return self.transport is None or not self.transport.get_write_buffer_size()
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of the caller and time the header lines that they begin."""
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -184,19 +184,14 @@
         await self._frontend.close_listener()
         self._lifecycle.stage = Stage.CLOSED
         self._frontend.close_idle()
-        if not await self._wait_idle(plan.refuse_unsent_at):
+        if not await self._frontend.wait_idle(plan.refuse_unsent_at):
             self._pipeline.refuse_unsent()
-        if not await self._wait_idle(plan.end_at):
+        if not await self._frontend.wait_idle(plan.end_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
             self._pipeline.end()
-        # The last answers leave the sockets.
-        await asyncio.sleep(0.05)
+        if not await self._frontend.wait_idle(plan.exit_at):
+            logging.warning("answers are still on their way to callers")
         logging.info("the planned stop ends")
 
-    async def _wait_idle(self, until: float) -> bool:
-        """Wait until no request runs; return whether that came in time."""
-        left = until - self._clock.boottime()
-        return await self._lifecycle.wait_idle(max(0.0, left))
-
     async def _sleep_until(self, at: float) -> None:
         await asyncio.sleep(max(0.0, at - self._clock.boottime()))
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -23,6 +23,7 @@
 IDLE_SLACK_SECONDS = 1.0
 LINGERING_SECONDS = 2.0
 BACKLOG = 1024
+IDLE_CHECK_SECONDS = 0.02
 
 
 def build_problem(is_malformed: bool) -> web.Response:
@@ -87,6 +88,19 @@
             if connection.is_idle:
                 connection.force_close()
 
+    async def wait_idle(self, until: float) -> bool:
+        """Wait until no request arrives or runs and all answers have left.
+
+        :param until: when to give up, in seconds.
+        :returns: whether that came in time.
+        """
+        while not all(connection.is_idle for connection in self._web.connections):
+            left = until - self._clock.boottime()
+            if left <= 0:
+                return False
+            await asyncio.sleep(min(left, IDLE_CHECK_SECONDS))
+        return True
+
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
         await self._web.shutdown(0.1)
