Lend for a domain whose lenders are all silent

Cause: other domains lend for one without instances, but learn of the loss only when the leases end after 3 s; until then they find its lenders silent and go elsewhere. Change: a domain whose lenders were all silent to one question counts as one without instances for as long as a lease lasts. Test: test_upstreams_of_a_domain_that_lost_its_power_get_work failed before.

--- a/libraries/gateway/shallotspindle_gateway/borrowing.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing.py
@@ -15,7 +15,7 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
-from shallotspindle_gateway.election import rank_lenders
+from shallotspindle_gateway.election import rank_lenders, rank_stand_ins
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.peers import Peers, Unanswered
 from shallotspindle_gateway.records import Member
@@ -37,6 +37,9 @@
 # A queued question is sent again in case the decision was lost.
 REPEAT_SECONDS = 0.2
 LENDERS_ASKED = 3
+# A domain whose lenders were all silent counts as one without instances for this time.
+# Leases show the loss of a domain as late as that; its upstreams would get nothing.
+LOST_SECONDS = 3.0
 HEDGE_SECONDS = 0.35
 # A request waits this long for a slot in its own domain before others are asked; one
 # whose body is dear to send to them waits longer.
@@ -144,6 +147,7 @@
         self._numbers = itertools.count(1)
         self._decisions: dict[int, asyncio.Future] = {}
         self._silences: dict[str, Silence] = {}
+        self._lost_until: dict[FailureDomain, float] = {}
         peers.register(SlotLent, self._hear_decision)
         peers.register(SlotRefused, self._hear_decision)
 
@@ -184,7 +188,7 @@
 
     def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
         counts = self._follower.upstreams.list_domains(service)
-        populated = {member.domain for member in self._follower.members.values()}
+        populated = self._find_populated()
         own = self._own.domain
         others = sorted(domain for domain in counts if domain != own)
         if others:
@@ -194,10 +198,20 @@
         first = draw_domain(counts, own, populated, self._random)
         return [first, *(d for d in ordered if d != first)] if first else ordered
 
+    def _find_populated(self) -> set[FailureDomain]:
+        """Return the failure domains whose instances lend their upstreams."""
+        domains = {member.domain for member in self._follower.members.values()}
+        return {domain for domain in domains if not self._is_lost(domain)}
+
+    def _is_lost(self, domain: FailureDomain) -> bool:
+        """Return whether the instances of a domain seem to be gone."""
+        return self._clock.boottime() < self._lost_until.get(domain, float("-inf"))
+
     def _rank_lenders(self, service: ServiceName, domain: FailureDomain) -> list[str]:
         """Return the lenders to ask, without those that were silent lately."""
         now = self._clock.boottime()
-        ranked = rank_lenders(service, domain, self._follower.members.values())
+        rank = rank_stand_ins if self._is_lost(domain) else rank_lenders
+        ranked = rank(service, domain, self._follower.members.values())
         return [name for name in ranked if not self._is_silent(name, now)]
 
     def _is_silent(self, lender: str, now: float) -> bool:
@@ -226,8 +240,18 @@
                 self._silences.pop(lender, None)
                 return found
             self._note_silence(lender, want.service)
+        self._note_loss(domain)
         return None
 
+    def _note_loss(self, domain: FailureDomain) -> None:
+        """Let other domains lend for one whose lenders are all silent."""
+        if domain == self._own.domain or self._is_lost(domain):
+            return
+        self._lost_until[domain] = self._clock.boottime() + LOST_SECONDS
+        logging.info(
+            "no lender of %s answers, others lend for %.0f s", domain, LOST_SECONDS
+        )
+
     def _build_question(
         self, domain: FailureDomain, want: Want, wait: float
     ) -> SlotAsked:
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -424,6 +424,24 @@
             assert (await fleet.send(near))[0] == 200
         assert all(upstream.runs for upstream in far)
 
+    async def test_upstreams_of_a_domain_that_lost_its_power_get_work(
+        self, fleet, monkeypatch
+    ):
+        # Guards against upstreams that get nothing until the leases of all instances
+        # beside them have ended.
+        monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
+        far = [await fleet.add_upstream(domain="b") for _ in range(2)]
+        near = await start(fleet, "whole")
+        for number in range(8):
+            value = f'["127.0.0.1:{number + 1}", "b", 1000.0]'.encode()
+            fleet.store.put(f"members/dead-{number}", value)
+        await fleet.await_true(lambda: len(near.follower.members) == 9)
+        for _ in range(6):
+            sends = [fleet.send(near) for _ in range(8)]
+            answers = await asyncio.gather(*sends)
+            assert {status for status, _, _ in answers} == {200}
+        assert all(upstream.runs for upstream in far)
+
 
 class TestStop:
     async def test_a_planned_stop_cuts_no_request(self, fleet):
--- a/libraries/gateway/shallotspindle_gateway/election.py
+++ b/libraries/gateway/shallotspindle_gateway/election.py
@@ -38,4 +38,12 @@
     near = [member for member in found if member.domain == domain]
     if near:
         return rank_members(f"lender {service}", near)
-    return rank_members(f"lender {service} {domain}", found)
+    return rank_stand_ins(service, domain, found)
+
+
+def rank_stand_ins(
+    service: ServiceName, domain: FailureDomain, members: Iterable[Member]
+) -> list[str]:
+    """Return the members that lend for a domain without instances, in their order."""
+    far = [member for member in members if member.domain != domain]
+    return rank_members(f"lender {service} {domain}", far)
