Take a repeat from the budget only when it is lent a slot

Callers saw reads fail for which a second upstream was free: hedges that no desk had a slot for had used up the budget before.

Cause: a desk took a repeat from its budget before it looked for a slot. Hedges are asked without a wait, so that under load most of them are refused as busy, at each domain in turn, and every refusal counted as a repeat that was never sent.

Change: the desk asks whether a repeat is left, and takes it with the slot. Queued repeats are refused when others have taken the last one.

Ruled out: a ratio that ignores the settings.

Test: two tests of TestRetries fail first, and the model of the budget asks before it takes.

--- a/libraries/lending/shallotspindle_lending/desk.py
+++ b/libraries/lending/shallotspindle_lending/desk.py
@@ -252,6 +252,8 @@
                 is_open = self._is_open(now)
             elif now >= item.until:
                 decided.append(self._refuse(item.asked, Reason.BUSY))
+            elif not self._may_send(item.asked, now):
+                decided.append(self._refuse(item.asked, Reason.NO_BUDGET))
             else:
                 left.append(item)
         self._queue = left
@@ -279,9 +281,11 @@
             return Reason.NO_UPSTREAM
         if self._crashes.is_held(asked.fingerprint, now):
             return Reason.HELD
-        if asked.repeat and not self.budget.take(now):
-            return Reason.NO_BUDGET
-        return None
+        return None if self._may_send(asked, now) else Reason.NO_BUDGET
+
+    def _may_send(self, asked: SlotAsked, now: float) -> bool:
+        """Return whether the budget for repeats allows a send."""
+        return not asked.repeat or self.budget.has_retry(now)
 
     def _refuse(self, asked: SlotAsked, reason: Reason) -> Addressed:
         slots = sum(item.announcement.slots for item in self._standings.values())
@@ -293,11 +297,13 @@
 
     def _serve(self, item: Waiting, now: float) -> Addressed | None:
         asked = item.asked
-        chosen = self._choose(item, now)
+        chosen = self._choose(item, now) if self._may_send(asked, now) else None
         if chosen is None:
             return None
-        if not asked.repeat:
-            # Counted where it is sent: a busy desk passes its questions on to others.
+        # Counted where it is sent: a busy desk passes its questions on to others.
+        if asked.repeat:
+            self.budget.take(now)
+        else:
             self.budget.count_request(now)
         left = asked.seconds - (now - item.since)
         until = now + left + REPORT_SLACK_SECONDS
--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -300,6 +300,35 @@
         # The fleet may send a fifth of the requests once more.
         assert 0 < granted <= 0.2 * 40
 
+    def test_a_repeat_that_gets_no_slot_takes_nothing_from_the_budget(self):
+        # Guards against hedges that are refused under load and leave nothing for the
+        # repeats that would find a slot.
+        fixture = Fixture(count=2, retries=1)
+        avoid = (UpstreamName("u0"),)
+        first = ask(1, avoid=avoid)
+        lent = fixture.lend(first, 0.0)
+        fixture.lend(ask(2, avoid=avoid), 0.0)
+        hedge = ask(3, avoid=avoid, repeat=True, wait_seconds=0.0)
+        (refused,) = fixture.decide(hedge, 0.1)
+        assert refused.reason is Reason.BUSY
+        fixture.give_back(first, lent, Outcome.WHOLE, 0.2)
+        fixture.lend(ask(4, avoid=avoid, repeat=True), 0.2)
+        fixture.give_back(ask(4), lent, Outcome.WHOLE, 0.3)
+        (refused,) = fixture.decide(ask(5, avoid=avoid, repeat=True), 0.3)
+        assert refused.reason is Reason.NO_BUDGET
+
+    def test_queued_repeats_share_what_is_left_of_the_budget(self):
+        # Guards against a queue of repeats that were all counted against one retry.
+        fixture = Fixture(count=1, retries=1)
+        first, second = ask(1), ask(2)
+        lent = fixture.lend(first, 0.0)
+        fixture.lend(second, 0.0)
+        for number in (3, 4):
+            assert fixture.decide(ask(number, repeat=True), 0.0) == []
+        decided = fixture.give_back(first, lent, Outcome.WHOLE, 0.05)
+        assert [type(decision) for decision in decided] == [SlotLent, SlotRefused]
+        assert decided[1].reason is Reason.NO_BUDGET
+
     def test_a_request_that_crashes_upstreams_is_held_back(self, fixture):
         # Guards against one request that takes down every upstream in turn.
         for name in ("u0", "u1", "u2"):
--- a/libraries/retries/shallotspindle_retries/budget.py
+++ b/libraries/retries/shallotspindle_retries/budget.py
@@ -38,13 +38,17 @@
         self._find_bucket(now)[1] += 1
         self._requests += 1
 
+    def has_retry(self, now: float) -> bool:
+        """Return whether a retry is left, without taking it."""
+        self._find_bucket(now)
+        part = int(self._ratio * self._requests) + self.slack
+        return self._retries < max(self._least, part)
+
     def take(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
-        bucket = self._find_bucket(now)
-        part = int(self._ratio * self._requests) + self.slack
-        if self._retries + 1 > max(self._least, part):
+        if not self.has_retry(now):
             return False
-        bucket[2] += 1
+        self._find_bucket(now)[2] += 1
         self._retries += 1
         return True
 
--- a/libraries/retries/shallotspindle_retries/budget_test.py
+++ b/libraries/retries/shallotspindle_retries/budget_test.py
@@ -28,8 +28,11 @@
     @rule()
     def retry(self):
         allowed = max(LEAST_RETRIES, int(RATIO * self.count(self.requests)))
+        expected = self.count(self.retries) < allowed
+        # A question about the budget changes nothing.
+        assert self.budget.has_retry(self.now) == expected
         granted = self.budget.take(self.now)
-        assert granted == (self.count(self.retries) < allowed)
+        assert granted == expected
         if granted:
             self.retries.append(self.now)
 
