Ask the other domains again while a request waits for a slot

Callers of uploads were held for ten seconds and then refused without a send, while upstreams of other failure domains were idle.

Cause: a request asked the other domains once, in the first moments, and then waited in its own domain until its deadline. Where all upstreams of that domain hang, which happens with three of them and an upload that hangs in each slot, nothing comes for as long as the hung runs last; the place in the own queue was all that it had.

Meanwhile five upstreams of other domains that answered used 0.8 to 1.6 of their two slots.

Ruled out: refusals by the length of the queue (`_is_hopeless`), which come at once; silent lenders, as the reason was `busy`.

Change: while the question keeps its place in the own domain, the others are asked again after 0.3 s, then after twice as long each time. A second slot goes back.

Test: two tests of TestOtherDomains fail first (no slot within 2 s, now after 0.3 s).

--- a/libraries/gateway/shallotspindle_gateway/borrowing.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing.py
@@ -1,6 +1,7 @@
 """Borrows slots of upstreams for the requests of this instance.
 
-The lenders of the own failure domain are asked first, then those of the others. An
+The lenders of the own failure domain are asked first, then those of the others. What
+finds no slot waits in the own domain and asks the others again from time to time. An
 instance whose lenders are all silent asks its own.
 """
 
@@ -42,6 +43,9 @@
 # whose body is dear to send to them waits longer.
 NEAR_WAIT_SECONDS = 0.05
 HEAVY_WAIT_SECONDS = 0.14
+# A request that waits in its own domain asks the others again after this time, then
+# after twice as long each time: the own upstreams may all hang until its deadline.
+FIRST_ROUND_SECONDS = 0.3
 # Questions below this wait are answered at once, so that other domains can be asked.
 NO_WAIT = 0.0
 
@@ -166,7 +170,12 @@
                 continue
             refused = found
             if found.reason in (Reason.HELD, Reason.NO_BUDGET):
-                break
+                return refused
+        if not want.hedge:
+            found = await self._borrow_late(domains, want)
+            if isinstance(found, Borrowed):
+                return found
+            refused = found or refused
         if refused.reason is Reason.SILENT:
             return await self._borrow_alone(want) or refused
         return refused
@@ -174,13 +183,60 @@
     def _plan(
         self, want: Want, domains: list[FailureDomain]
     ) -> list[tuple[FailureDomain, float]]:
-        """Return the domains to ask, and how long to wait in each, in seconds."""
+        """Return the domains to ask at first, and how long to wait in each.
+
+        :returns: times in seconds.
+        """
         plans = [(domain, NO_WAIT) for domain in domains]
         if want.hedge:
             return plans
         near = HEAVY_WAIT_SECONDS if want.heavy else NEAR_WAIT_SECONDS
-        left = max(0.0, want.until - self._clock.boottime())
-        return [(domains[0], min(near, left)), *plans[1:], (domains[0], left)]
+        return [(domains[0], min(near, self._find_left(want))), *plans[1:]]
+
+    def _find_left(self, want: Want) -> float:
+        """Return the time until a request must be answered, in seconds."""
+        return max(0.0, want.until - self._clock.boottime())
+
+    async def _borrow_late(
+        self, domains: list[FailureDomain], want: Want
+    ) -> Borrowed | SlotRefused | None:
+        """Wait in the first domain, and ask the others again from time to time.
+
+        The question keeps its place in the queue meanwhile.
+        """
+        near, *others = domains
+        waiting = asyncio.create_task(
+            self._borrow_in(near, want, self._find_left(want))
+        )
+        found: Borrowed | SlotRefused | None = None
+        pause = FIRST_ROUND_SECONDS
+        try:
+            while True:
+                done, _ = await asyncio.wait((waiting,), timeout=pause)
+                if done:
+                    found = waiting.result()
+                    return found
+                for domain in others:
+                    found = await self._borrow_in(domain, want, NO_WAIT)
+                    if isinstance(found, Borrowed):
+                        return found
+                    if waiting.done():
+                        break
+                pause *= 2
+        finally:
+            self._give_up(waiting, want, found)
+
+    def _give_up(
+        self,
+        waiting: asyncio.Task[Borrowed | SlotRefused | None],
+        want: Want,
+        used: Borrowed | SlotRefused | None,
+    ) -> None:
+        """End a question that waits; a slot that it got and nobody uses goes back."""
+        if not waiting.done():
+            waiting.cancel()
+        elif isinstance(slot := waiting.result(), Borrowed) and slot is not used:
+            self.give_back(want, slot, Outcome.CANCELLED, 0.0)
 
     def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
         counts = self._follower.upstreams.list_domains(service)
--- a/libraries/gateway/shallotspindle_gateway/borrowing_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing_test.py
@@ -1,13 +1,17 @@
+import asyncio
 from dataclasses import dataclass, field
 from random import Random
 
-from shallotspindle_core.identifiers import FailureDomain, ServiceName
+import pytest
+
+from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_environment.clock import SystemClock
-from shallotspindle_gateway.borrowing import Borrower, Want, draw_domain
+from shallotspindle_gateway.borrowing import Borrowed, Borrower, Want, draw_domain
 from shallotspindle_gateway.records import Member
 from shallotspindle_lending.records import (
     Outcome,
     Reason,
+    SlotLent,
     SlotQueued,
     SlotRefused,
     SlotReturned,
@@ -20,14 +24,22 @@
 LENDER = Member("10.0.0.2:1", A, 500.0)
 
 
+FAR_LENDER = Member("10.0.1.2:1", B, 500.0)
+
+
 class Directory:
+    def __init__(self, *domains):
+        self._domains = domains
+
     def list_domains(self, service):
-        return {A: 3}
+        return dict.fromkeys(self._domains, 3)
 
 
 class Follower:
-    members = {"own": OWN, "lender": LENDER}
-    upstreams = Directory()
+    def __init__(self, *others):
+        members = (OWN, *others)
+        self.members = {member.address: member for member in members}
+        self.upstreams = Directory(*sorted({member.domain for member in members}))
 
 
 @dataclass
@@ -56,7 +68,7 @@
         # Guards against slots that are lent to nobody: their upstream looked gray for
         # the 5 s of an upload, and a service of 15 upstreams lost a third of them.
         peers = SlowLender()
-        borrower = Borrower(OWN, Follower(), peers, SystemClock(), Random(1))
+        borrower = Borrower(OWN, Follower(LENDER), peers, SystemClock(), Random(1))
         refused = await borrower.borrow(build_want(0.2))
         assert isinstance(refused, SlotRefused)
         assert refused.reason is Reason.BUSY
@@ -66,6 +78,77 @@
         assert {message.outcome for message in cancelled} == {Outcome.CANCELLED}
 
 
+@dataclass
+class BusyLenders(SlowLender):
+    """Peers whose near lender queues all questions; the far one has slots later.
+
+    :param busy_answers: questions that the far lender refuses first.
+    :param near_decides: whether the near lender decides while the far one answers.
+    """
+
+    busy_answers: int = 1
+    near_decides: bool = False
+    handlers: dict = field(default_factory=dict)
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    async def request(self, address, message, timeout):
+        if address != FAR_LENDER.address:
+            return SlotQueued(message.number)
+        self.busy_answers -= 1
+        if self.busy_answers >= 0:
+            return SlotRefused(message.number, Reason.BUSY, 0.3)
+        if self.near_decides:
+            near = UpstreamName("near")
+            lent = SlotLent(message.number - 1, near, "10.0.0.9:80", 0.3)
+            self.handlers[SlotLent](LENDER.address, lent)
+            await asyncio.sleep(0.01)
+        return SlotLent(message.number, UpstreamName("far"), "10.0.1.9:80", 0.3)
+
+
+class TestOtherDomains:
+    async def borrow(self, peers, seconds):
+        follower = Follower(LENDER, FAR_LENDER)
+        borrower = Borrower(OWN, follower, peers, SystemClock(), Random(1))
+        return await borrower.borrow(build_want(seconds))
+
+    async def test_they_are_asked_again_while_the_own_one_has_no_slot(self):
+        # Guards against uploads that wait for ten seconds in a domain whose upstreams
+        # all hang, while those of other domains are free.
+        peers = BusyLenders()
+        found = await asyncio.wait_for(self.borrow(peers, 5.0), 2.0)
+        assert isinstance(found, Borrowed)
+        assert found.upstream == "far"
+        last = peers.sent[-1][1]
+        assert isinstance(last, SlotReturned)
+        assert (last.domain, last.outcome) == (A, Outcome.CANCELLED)
+
+    async def test_a_second_slot_goes_back(self):
+        # Guards against a slot that is lent to nobody when two lenders decide at once.
+        peers = BusyLenders(near_decides=True)
+        found = await asyncio.wait_for(self.borrow(peers, 5.0), 2.0)
+        assert isinstance(found, Borrowed)
+        returned = [m for _, m in peers.sent if isinstance(m, SlotReturned)]
+        names = {"near": A, "far": B}
+        other = ({"near", "far"} - {found.upstream}).pop()
+        assert (other, names[other]) in {(m.upstream, m.domain) for m in returned}
+
+    async def test_a_request_without_any_slot_is_refused_at_its_end(self):
+        peers = BusyLenders(busy_answers=100)
+        refused = await asyncio.wait_for(self.borrow(peers, 0.8), 2.0)
+        assert isinstance(refused, SlotRefused)
+        assert refused.reason is Reason.BUSY
+
+    async def test_a_caller_that_leaves_takes_its_questions_back(self):
+        peers = BusyLenders(busy_answers=100)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(self.borrow(peers, 5.0), 0.5)
+        await asyncio.sleep(0)
+        last = peers.sent[-1][1]
+        assert (last.domain, last.outcome) == (A, Outcome.CANCELLED)
+
+
 def count_draws(counts, own, populated) -> dict[FailureDomain | None, float]:
     random = Random(1)
     drawn = [draw_domain(counts, own, populated, random) for _ in range(DRAWS)]
