--- a/libraries/lending/shallotspindle_lending/desk_test.py
+++ b/libraries/lending/shallotspindle_lending/desk_test.py
@@ -1,3 +1,4 @@
+import itertools
 from dataclasses import replace
 
 import pytest
@@ -150,6 +151,24 @@
             lent_at.append(sum(at > now - 2.0 for at in used.values()))
         assert min(lent_at[6 * count :]) >= 0.7 * count
 
+    def test_an_upstream_with_a_hung_upload_gets_work_again(self):
+        # Guards against sound upstreams that get nothing while others refuse requests:
+        # one run that hung kept its upstream out for the ten seconds of its deadline.
+        fixture = Fixture(count=3)
+        hung = ask(1, seconds=10.0)
+        name = fixture.lend(hung, 0.0).upstream
+        now, used = 0.05, []
+        for number in range(2, 300):
+            asked = ask(number, seconds=10.0)
+            lent = fixture.lend(asked, now)
+            used += [now] if lent.upstream == name else []
+            fixture.give_back(asked, lent, Outcome.WHOLE, now + 0.01, 0.01)
+            now += 0.05
+        later = [at for at in used if at > 1.0]
+        assert min(later) < 6.5
+        gaps = [b - a for a, b in itertools.pairwise(later)]
+        assert max(gaps) < 2.0
+
     def test_a_read_goes_to_an_upstream_that_was_suspended_long_ago(self):
         fixture = Fixture(count=2)
         fixture.fail("u0", 0.0)
@@ -300,6 +319,35 @@
         # The fleet may send a fifth of the requests once more.
         assert 0 < granted <= 0.2 * 40
 
+    def test_a_repeat_that_gets_no_slot_takes_nothing_from_the_budget(self):
+        # Guards against hedges that are refused under load and leave nothing for the
+        # repeats that would find a slot.
+        fixture = Fixture(count=2, retries=1)
+        avoid = (UpstreamName("u0"),)
+        first = ask(1, avoid=avoid)
+        lent = fixture.lend(first, 0.0)
+        fixture.lend(ask(2, avoid=avoid), 0.0)
+        hedge = ask(3, avoid=avoid, repeat=True, wait_seconds=0.0)
+        (refused,) = fixture.decide(hedge, 0.1)
+        assert refused.reason is Reason.BUSY
+        fixture.give_back(first, lent, Outcome.WHOLE, 0.2)
+        fixture.lend(ask(4, avoid=avoid, repeat=True), 0.2)
+        fixture.give_back(ask(4), lent, Outcome.WHOLE, 0.3)
+        (refused,) = fixture.decide(ask(5, avoid=avoid, repeat=True), 0.3)
+        assert refused.reason is Reason.NO_BUDGET
+
+    def test_queued_repeats_share_what_is_left_of_the_budget(self):
+        # Guards against a queue of repeats that were all counted against one retry.
+        fixture = Fixture(count=1, retries=1)
+        first, second = ask(1), ask(2)
+        lent = fixture.lend(first, 0.0)
+        fixture.lend(second, 0.0)
+        for number in (3, 4):
+            assert fixture.decide(ask(number, repeat=True), 0.0) == []
+        decided = fixture.give_back(first, lent, Outcome.WHOLE, 0.05)
+        assert [type(decision) for decision in decided] == [SlotLent, SlotRefused]
+        assert decided[1].reason is Reason.NO_BUDGET
+
     def test_a_request_that_crashes_upstreams_is_held_back(self, fixture):
         # Guards against one request that takes down every upstream in turn.
         for name in ("u0", "u1", "u2"):
