--- a/libraries/lending/shallotspindle_lending/standing.py
+++ b/libraries/lending/shallotspindle_lending/standing.py
@@ -16,9 +16,8 @@
 
 # A proof says little once the upstream may have turned gray in between.
 PROOF_SECONDS = 2.0
-# The silence of a run speaks against its upstream for this time from its begin. Beside
-# uploads that hung for longer, 40 of 41 and 17 of 29 later runs ended well on two days
-# of the bench, while their upstreams were kept out for ten seconds.
+# The silence of a run speaks against its upstream for this time from its begin. Most
+# upstreams answer again long before an upload that hung there reaches its deadline.
 SILENCE_SECONDS = 4.5
 # Longer suspensions would keep healthy capacity out after the upstream has recovered.
 FIRST_SUSPENSION_SECONDS = 1.0
