Judge an outage by the silence of the store, not by the wait of a watch

Cause: an instance that the store answers again keeps vanished entries for 2 s unless the store was confirmed to it within 1.6 s. That age was taken when the answer came: it held the wait of the instance's own watch (1.0 s) and that of the watch of the neighbour that had told it (1.0 s). An instance that was turned away while all its neighbours had the store therefore took it for an outage when the first watch after it ended without changes, and its desks lent upstreams that had left for up to 2.1 s more.

Change: what counts is the time from the last answer of the store that anybody told of to the sending of the question that was answered.

TestOutages: test_a_store_that_answered_neighbours_was_not_away failed before (grace of 1.997 s) and passes; its opposite passes before and after.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -64,8 +64,9 @@
 EXPIRY_SLACK_SECONDS = 0.1
 # Shorter gaps leave no time for entries to lapse.
 OUTAGE_SECONDS = 1.0
-# While a neighbour confirmed the store within this time the store was not away,
-# whatever happened to the calls of this instance.
+# While the store answered a neighbour within this time the store was not away,
+# whatever happened to the calls of this instance. A watch without changes is answered
+# after ``WATCH_SECONDS``, and a poll and a pause come on top.
 UNHEARD_SECONDS = 1.6
 Listener = Callable[[], None]
 
@@ -181,7 +182,8 @@
     def _note_store(self, asked_at: float) -> bool:
         """Count an answer; return whether the store was away before it."""
         now = self._clock.boottime()
-        was_unheard = self.find_age(now) >= UNHEARD_SECONDS
+        # The wait for this answer is no silence of the store.
+        was_unheard = asked_at - self._heard_at >= UNHEARD_SECONDS
         since, self._failing_since = self._failing_since, None
         self._confirm(asked_at, now)
         if since is None or now - since < OUTAGE_SECONDS:
@@ -283,7 +285,7 @@
             for key, value, revision, is_removed in told.events
         )
         now = self._clock.boottime()
-        if told.grace_seconds > 0 and self.find_age(now) >= UNHEARD_SECONDS:
+        if told.grace_seconds > 0 and sent_at - self._heard_at >= UNHEARD_SECONDS:
             self.upstreams.distrust(told.grace_seconds, now)
             self._expire_later(told.grace_seconds)
         self._apply(Changes(events, told.revision))
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -90,6 +90,11 @@
     return answer
 
 
+def tell_nothing(silence: float, revision: int = 10) -> Answer:
+    """Return an answer of a neighbour to which the store has been silent."""
+    return lambda _: ChangesTold(revision, silence + 0.1, silence)
+
+
 @asynccontextmanager
 async def following_store(
     store: ScriptedStore, peers: ScriptedPeers
@@ -153,3 +158,37 @@
             follower._forget(item.key, SystemClock().boottime())
             await asyncio.sleep(0.2)
             assert not follower.list_neighbours()
+
+
+class TestOutages:
+    async def test_a_store_that_answered_neighbours_was_not_away(self):
+        # Guards against vanished entries that are kept although the store only turned
+        # this instance away: the wait of its own watch and of its neighbour's watch
+        # counted as silence of the store.
+        store = ScriptedStore((UPSTREAM, store_member(2, "b")))
+        peers = ScriptedPeers({"10.0.0.2:1": tell_nothing(silence=0.9)})
+        async with following_store(store, peers) as follower:
+            store.mode = "refuse"
+            await asyncio.sleep(following.WATCH_SECONDS + following.OUTAGE_SECONDS + 1)
+            assert follower._failing_since is not None
+            store.mode = "ok"
+            await await_true(lambda: follower._failing_since is None, 2.0)
+            assert follower.upstreams.find_grace(SystemClock().boottime()) == 0.0
+
+    async def test_a_store_that_answered_nobody_was_away(self):
+        # Guards against upstreams that are lost because they could not announce
+        # themselves.
+        store = ScriptedStore((UPSTREAM, store_member(2, "b")))
+        heard_at = SystemClock().boottime() + following.WATCH_SECONDS
+
+        def tell_age(asked: ChangesAsked) -> ChangesTold:
+            silence = max(0.0, SystemClock().boottime() - heard_at)
+            return ChangesTold(10, silence + 0.1, silence)
+
+        peers = ScriptedPeers({"10.0.0.2:1": tell_age})
+        async with following_store(store, peers) as follower:
+            store.mode = "refuse"
+            await asyncio.sleep(following.WATCH_SECONDS + 2.0)
+            store.mode = "ok"
+            await await_true(lambda: follower._failing_since is None, 2.0)
+            assert follower.upstreams.find_grace(SystemClock().boottime()) > 1.0
