Give back slots of upstreams that left

Ruled out: names of upstreams that left in each question. The decision may come seconds after the question, and the check is needed then anyway.

Change: the directory remembers for 10 s what left. The borrower gives a slot of such an upstream back and asks again without it. Upstreams that the instance does not know at all are used, since a new one may be known to the lender first, and so are entries that lapsed in an outage.

TestLeftUpstreams (2 tests) failed before and passes.

--- a/libraries/gateway/shallotspindle_gateway/borrowing.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing.py
@@ -153,7 +153,27 @@
             waiting.set_result(decision)
 
     async def borrow(self, want: Want) -> Borrowed | SlotRefused:
-        """Return a slot as near as possible, or why there is none."""
+        """Return a slot as near as possible, or why there is none.
+
+        The news that an upstream leaves may reach its lender later than this instance;
+        such a slot goes back and another one is asked for.
+        """
+        while True:
+            found = await self._borrow(want)
+            if isinstance(found, SlotRefused) or not self._has_left(found):
+                return found
+            logging.info(
+                "the lender %s does not know that upstream %s left",
+                found.lender,
+                found.upstream,
+            )
+            self.give_back(want, found, Outcome.CANCELLED, 0.0)
+            want = replace(want, avoid=(*want.avoid, found.upstream))
+
+    def _has_left(self, slot: Borrowed) -> bool:
+        return self._follower.upstreams.has_left(slot.upstream)
+
+    async def _borrow(self, want: Want) -> Borrowed | SlotRefused:
         domains = self._order_domains(want.service)
         if not domains:
             return SlotRefused(0, Reason.NO_UPSTREAM, 1.0)
--- a/libraries/gateway/shallotspindle_gateway/borrowing_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing_test.py
@@ -1,13 +1,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from shallotspindle_core.identifiers import FailureDomain, ServiceName
+from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_environment.clock import SystemClock
-from shallotspindle_gateway.borrowing import Borrower, Want, draw_domain
+from shallotspindle_gateway.borrowing import Borrowed, Borrower, Want, draw_domain
 from shallotspindle_gateway.records import Member
 from shallotspindle_lending.records import (
     Outcome,
     Reason,
+    SlotLent,
     SlotQueued,
     SlotRefused,
     SlotReturned,
@@ -66,6 +67,61 @@
         assert {message.outcome for message in cancelled} == {Outcome.CANCELLED}
 
 
+@dataclass
+class LateLender(SlowLender):
+    """Peers whose lender lends the first of its upstreams that may be lent."""
+
+    upstreams: tuple[str, ...] = ("u1", "u2")
+    asked: list = field(default_factory=list)
+
+    async def request(self, address, message, timeout):
+        self.asked.append(message)
+        for name in self.upstreams:
+            if name not in message.avoid:
+                return SlotLent(message.number, UpstreamName(name), "10.9.0.1:80", 0.5)
+        return SlotRefused(message.number, Reason.NO_UPSTREAM, 1.0)
+
+
+class LeavingDirectory(Directory):
+    """Knows that some upstreams left."""
+
+    def __init__(self, *left: str) -> None:
+        self._left = left
+
+    def has_left(self, name):
+        return name in self._left
+
+
+class InformedFollower(Follower):
+    """Follower that heard which upstreams left."""
+
+    def __init__(self, *left: str) -> None:
+        self.upstreams = LeavingDirectory(*left)
+
+
+class TestLeftUpstreams:
+    async def test_a_slot_of_an_upstream_that_left_goes_back(self):
+        # Guards against work for an upstream that left 2.2 s ago: the instance had
+        # heard of it and the lender had not.
+        peers = LateLender()
+        follower = InformedFollower("u1")
+        borrower = Borrower(OWN, follower, peers, SystemClock(), Random(1))
+        found = await borrower.borrow(build_want(1.0))
+        assert isinstance(found, Borrowed)
+        assert found.upstream == "u2"
+        (returned,) = [message for _, message in peers.sent]
+        assert (returned.upstream, returned.outcome) == ("u1", Outcome.CANCELLED)
+        assert returned.number == peers.asked[0].number
+
+    async def test_no_slot_is_used_when_all_upstreams_left(self):
+        peers = LateLender()
+        follower = InformedFollower("u1", "u2")
+        borrower = Borrower(OWN, follower, peers, SystemClock(), Random(1))
+        found = await borrower.borrow(build_want(1.0))
+        assert isinstance(found, SlotRefused)
+        assert found.reason is Reason.NO_UPSTREAM
+
+
 def count_draws(counts, own, populated) -> dict[FailureDomain | None, float]:
     random = Random(1)
     drawn = [draw_domain(counts, own, populated, random) for _ in range(DRAWS)]
--- a/libraries/registry/shallotspindle_registry/directory.py
+++ b/libraries/registry/shallotspindle_registry/directory.py
@@ -12,6 +12,8 @@
 
 # A live upstream announces itself again within 2 s of the store's return.
 GRACE_SECONDS = 2.0
+# For how long an upstream that left is remembered; other views are behind for less.
+LEFT_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,8 @@
 
     def __init__(self) -> None:
         self._known: dict[UpstreamName, Known] = {}
+        # When the entries of upstreams that left were dropped, in seconds.
+        self._left: dict[UpstreamName, float] = {}
         self._trusted_from = float("-inf")
         self.version = 0
         # Answers of this version, since each request asks for them.
@@ -67,6 +71,7 @@
         if known and known.announcement == item and known.missing_since is None:
             return
         self._known[item.name] = Known(item, now)
+        self._left.pop(item.name, None)
         self.version += 1
 
     def remove(self, name: UpstreamName, now: float) -> None:
@@ -77,21 +82,35 @@
         if now < self._trusted_from and known.announcement.state is State.READY:
             self._known[name] = Known(known.announcement, known.seen_at, now)
             return
-        del self._known[name]
-        self.version += 1
+        self._drop(name, now)
 
     def expire(self, now: float) -> None:
         """Drop upstreams whose entries stayed missing after an outage."""
         if now < self._trusted_from:
             return
         for name in [n for n, k in self._known.items() if k.missing_since is not None]:
-            del self._known[name]
-            self.version += 1
+            self._drop(name, now)
+
+    def _drop(self, name: UpstreamName, now: float) -> None:
+        del self._known[name]
+        self.version += 1
+        kept = {n: at for n, at in self._left.items() if now - at < LEFT_SECONDS}
+        self._left = {**kept, name: now}
 
     def find(self, name: UpstreamName) -> Known | None:
         """Return an upstream by name."""
         return self._known.get(name)
 
+    def has_left(self, name: UpstreamName) -> bool:
+        """Return whether an upstream is known to leave, or to have left.
+
+        One that is not known at all has not: another instance may hear of it first.
+        """
+        known = self._known.get(name)
+        if known is None:
+            return name in self._left
+        return known.announcement.state is not State.READY
+
     def list_usable(
         self, service: ServiceName, domain: FailureDomain | None = None
     ) -> Usable:
--- a/libraries/registry/shallotspindle_registry/directory_test.py
+++ b/libraries/registry/shallotspindle_registry/directory_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
-from shallotspindle_registry.directory import GRACE_SECONDS, Directory
+from shallotspindle_registry.directory import GRACE_SECONDS, LEFT_SECONDS, Directory
 from shallotspindle_registry.records import Announcement, State
 
 SERVICE = ServiceName("catalogue")
@@ -68,3 +68,35 @@
         directory.remove(FIRST.name, 10.1)
         directory.expire(11.0)
         assert directory.find(FIRST.name) is not None
+
+
+class TestLeft:
+    def test_an_upstream_that_drains_or_is_gone_has_left(self, directory):
+        # Guards against slots of a lender that hears later that an upstream leaves.
+        assert not directory.has_left(FIRST.name)
+        directory.announce(replace(FIRST, state=State.DRAINING), 1.0)
+        directory.remove(SECOND.name, 1.0)
+        assert directory.has_left(FIRST.name)
+        assert directory.has_left(SECOND.name)
+
+    def test_an_unknown_upstream_and_one_that_is_back_have_not_left(self, directory):
+        # Guards against new upstreams that get nothing until everybody knows them.
+        assert not directory.has_left(UpstreamName("u9"))
+        directory.remove(FIRST.name, 1.0)
+        directory.announce(FIRST, 2.0)
+        assert not directory.has_left(FIRST.name)
+
+    def test_an_entry_that_lapsed_in_an_outage_has_not_left(self, directory):
+        # Guards against sound upstreams that are refused after an outage.
+        directory.note_outage_end(1.0)
+        directory.remove(FIRST.name, 1.5)
+        assert not directory.has_left(FIRST.name)
+        directory.expire(1.0 + GRACE_SECONDS)
+        assert directory.has_left(FIRST.name)
+
+    def test_what_left_long_ago_is_forgotten(self, directory):
+        # Guards against a list of all upstreams that there ever were.
+        directory.remove(FIRST.name, 1.0)
+        directory.remove(SECOND.name, 2.0 + LEFT_SECONDS)
+        assert not directory.has_left(FIRST.name)
+        assert directory.has_left(SECOND.name)
