Notice an outage that a single call spanned

Cause: vanished entries were kept only if the instance's calls had failed for 1.0 s when the store came back. The failure of a call is noted at its end, 1.5 s after its start, and a follower calls the store only 1.45 s after its watcher lost it. An outage of up to 4 s was therefore none for an instance whose only call ended just before the store came back. Its upstreams whose entries had lapsed left its desks, and since slots of upstreams that left go back, it would refuse them from lenders that keep them.

Ruled out: counting a silence without any failed call. A process that stood still hears nothing either, and the store was there.

Change: an answer after a failed call ends an outage if nobody told of an answer for 1.6 s, whatever the time since the call failed. The other bound, 1.0 s, decides only whether all values are read.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -186,12 +186,14 @@
         was_unheard = asked_at - self._heard_at >= UNHEARD_SECONDS
         since, self._failing_since = self._failing_since, None
         self._confirm(asked_at, now)
-        if since is None or now - since < OUTAGE_SECONDS:
+        if since is None:
             return False
-        logging.info("the store answers after %.1f s", now - since)
         if was_unheard:
             self.upstreams.note_outage_end(now)
             self._expire_later(GRACE_SECONDS)
+        elif now - since < OUTAGE_SECONDS:
+            return False
+        logging.info("the store answers after %.1f s", now - since)
         return True
 
     def _expire_later(self, seconds: float) -> None:
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -52,7 +52,7 @@
         failed = await self._fail(seconds + 0.5)
         if failed is None and self.revision <= revision:
             await asyncio.sleep(seconds)
-            failed = await self._fail(0.0)
+            failed = await self._fail(0.5)
         return failed or Ok(Changes((), self.revision))
 
 
@@ -192,3 +192,16 @@
             store.mode = "ok"
             await await_true(lambda: follower._failing_since is None, 2.0)
             assert follower.upstreams.find_grace(SystemClock().boottime()) > 1.0
+
+    async def test_an_outage_that_one_call_spanned_is_noticed(self, monkeypatch):
+        # Guards against entries that lapsed in an outage and are dropped at once: the
+        # only call that failed ended just before the store came back.
+        monkeypatch.setattr(following, "WATCH_SECONDS", 1.5)
+        store = ScriptedStore((UPSTREAM,))
+        async with following_store(store, ScriptedPeers()) as follower:
+            store.mode = "hang"
+            await await_true(lambda: follower._failing_since is not None, 4.0)
+            store.mode = "ok"
+            store.revision += 1
+            await await_true(lambda: follower._failing_since is None, 4.0)
+            assert follower.upstreams.find_grace(SystemClock().boottime()) > 1.0
