Ask neighbours beside the calls at the store

One loop called the store and asked the neighbours in turn. A watcher whose call hung heard nothing for 1.5 s and 0.25 s more. A follower believed its watcher for 1.2 s and 0.25 s of poll, then waited 1.5 s for its own call and 0.25 s before it asked anybody else: 3.2 s, bound 2.0 s. Then the first neighbour that had heard the store within 2.5 s ended the search, also one that knew no more than the asker; the two near ones usually follow the same watcher. After a pause of 0.2 s for events a watch of 1.0 s without any ended at 1.2 s, and followers ceased to believe a sound watcher.

Change: the follower runs two tasks. One watches the store while no watcher is believed. The other asks the watchers every 0.25 s and, while the store fails or is silent for 1.2 s, stand-ins and neighbours until one of them heard the store within 1.2 s; what the others know is taken too. Answers of the store that are older than what a neighbour told meanwhile change nothing. A read counts as heard when it was asked, as its values may be as old. A watch waits 0.8 s. Largest sums now: 1.45 s if one watcher or its store is silent, 1.7 s if the watcher, both stand-ins and the instance are turned away at once.

TestSilentStore: the two tests of a call that hangs (no news within 1.7 s) and the one of neighbours that know nothing new (none within 2.5 s) failed before and pass; that the store is not called beside a fresh watcher held before too. The test of older answers guards what the second task makes possible. Unchanged: tests of gateway, registry and lending, 137 passed; of soak, 25 passed.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -1,7 +1,10 @@
 """Task that follows the store: configuration, upstreams, members and held rights.
 
 A few watchers in each failure domain watch the store; the others ask them for what
-changed and turn to the store only if no watcher is fresh. What the store said is
+changed and turn to the store only if no watcher is fresh. Neighbours are asked beside
+the calls at the store, so that a call without an answer delays no news: whoever was
+silent is passed over ``LARGEST_SILENCE_SECONDS`` after the last answer of the store
+that is known of, at the next poll. What the store said is
 *confirmed* as of the sending of the question to it, also when it came through a
 neighbour. A request with a key needs a confirmation that is younger than the time in
 which a withdrawn key must stop working.
@@ -40,7 +43,8 @@
 # Each waiting watch is a call at the store; watchers of other domains stand in for one.
 WATCHER_COUNT = 1
 STAND_INS_ASKED = 2
-WATCH_SECONDS = 1.0
+# A pause and a watch without changes end before followers stop believing the watcher.
+WATCH_SECONDS = 0.8
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
 RETRY_SECONDS = 0.25
@@ -52,9 +56,6 @@
 # Silence of the store after which a watcher is not believed. A change must be in force
 # within two seconds, also when the watcher is cut off right after an answer.
 LARGEST_SILENCE_SECONDS = 1.2
-# A neighbour is asked only when the store does not answer; what it knows is better than
-# nothing.
-LARGEST_NEIGHBOUR_SILENCE_SECONDS = 2.5
 NEIGHBOURS_ASKED = 3
 # Instances whose membership ended are still asked for this time: in an outage all
 # leases lapse, also those of instances that serve on and reach the store again.
@@ -99,6 +100,8 @@
         self._heard_at = float("-inf")
         # When the store began to fail, or None while it answers.
         self._failing_since: float | None = None
+        # Set while no watcher is believed, so that the store must be called.
+        self._is_needed = asyncio.Event()
         self._read_at = float("-inf")
         self.deployment: Deployment = NO_DEPLOYMENT
         self.upstreams = Directory()
@@ -123,23 +126,42 @@
 
     async def start(self) -> None:
         self.start_event.set()
+        while not self._log.revision:
+            await self._read_all()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow_store())
+            tasks.create_task(self._follow_neighbours())
+
+    async def _follow_store(self) -> None:
+        """Watch the store while no watcher is believed; a watcher always does."""
         while True:
-            if not self._log.revision:
-                await self._read_all()
-            elif await self._hear_watchers():
-                await asyncio.sleep(POLL_SECONDS)
-            elif not await self._watch():
-                await self._ask_neighbours(
-                    self.list_neighbours(), LARGEST_NEIGHBOUR_SILENCE_SECONDS
-                )
+            await self._is_needed.wait()
+            await self._watch()
+
+    async def _follow_neighbours(self) -> None:
+        """Ask the watchers, and everybody while the store does not answer."""
+        while True:
+            if await self._hear_watchers():
+                self._is_needed.clear()
+                self._failing_since = None
+            else:
+                self._is_needed.set()
+                if self._is_uninformed():
+                    asked = [*self._list_stand_ins(), *self.list_neighbours()]
+                    await self._ask_neighbours(asked)
+            await asyncio.sleep(POLL_SECONDS)
 
     async def _hear_watchers(self) -> bool:
         """Take changes from a watcher, unless this instance is one."""
         watchers = self.rank_watchers()
         if self._own.address in watchers:
             return False
-        asked = [*watchers, *self._list_stand_ins()]
-        return await self._ask_neighbours(asked, LARGEST_SILENCE_SECONDS)
+        return await self._ask_neighbours([*watchers, *self._list_stand_ins()])
+
+    def _is_uninformed(self) -> bool:
+        """Return whether the store fails, or was silent for too long."""
+        silence = self._clock.boottime() - self._heard_at
+        return self._failing_since is not None or silence > LARGEST_SILENCE_SECONDS
 
     # What the store says.
 
@@ -147,15 +169,20 @@
         asked_at = self._clock.boottime()
         match await self.store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
-                self._read_at = asked_at
-                self._note_store(asked_at)
-                self._apply(self._log.compare(snapshot))
+                self._note_store(asked_at, asked_at)
+                self._take_snapshot(snapshot, asked_at)
                 await asyncio.sleep(PAUSE_SECONDS)
                 return True
             case Result(tag="error", error=failure):
                 await self._note_failure(failure)
         return False
 
+    def _take_snapshot(self, snapshot: Snapshot, asked_at: float) -> None:
+        """Take all values, unless a neighbour told later ones meanwhile."""
+        if snapshot.revision >= self._log.revision:
+            self._read_at = asked_at
+            self._apply(self._log.compare(snapshot))
+
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it answered."""
         asked_at = self._clock.boottime()
@@ -163,12 +190,12 @@
             return await self._read_all()
         match await self.store.follow(self._log.revision, WATCH_SECONDS):
             case Result(tag="ok", ok=Changes() as changes):
-                if self._note_store(asked_at):
+                if self._note_store(asked_at, self._clock.boottime()):
                     return await self._read_all()
                 if not changes.events and changes.revision > self._log.revision:
                     logging.info("the watch passed over changes, read all values")
                     return await self._read_all()
-                self._apply(changes)
+                self._take_changes(changes)
                 if changes.events:
                     await asyncio.sleep(PAUSE_SECONDS)
                 return True
@@ -179,13 +206,25 @@
                 await self._note_failure(failure)
         return False
 
-    def _note_store(self, asked_at: float) -> bool:
-        """Count an answer; return whether the store was away before it."""
+    def _take_changes(self, changes: Changes) -> None:
+        """Take what a watch told, unless a neighbour told more meanwhile.
+
+        The changes begin where the watch was asked: those of an older answer would take
+        back what is known by now.
+        """
+        if changes.revision >= self._log.revision:
+            self._apply(changes)
+
+    def _note_store(self, asked_at: float, heard_at: float) -> bool:
+        """Count an answer; return whether the store was away before it.
+
+        :param heard_at: until when the answer tells all changes, in seconds.
+        """
         now = self._clock.boottime()
         # The wait for this answer is no silence of the store.
         was_unheard = asked_at - self._heard_at >= UNHEARD_SECONDS
         since, self._failing_since = self._failing_since, None
-        self._confirm(asked_at, now)
+        self._confirm(asked_at, heard_at)
         if since is None:
             return False
         if was_unheard:
@@ -264,18 +303,18 @@
         self._former = {m: at for m, at in self._former.items() if at > since}
         return self._former.keys() - {self._own}
 
-    async def _ask_neighbours(self, addresses: list[str], silence: float) -> bool:
-        """Take changes from the first neighbour that is fresh.
+    async def _ask_neighbours(self, addresses: list[str]) -> bool:
+        """Take changes from neighbours until one is fresh; return whether one is.
 
-        :param silence: how long the store may have been silent there, in seconds.
+        What the others know is taken too: it is better than nothing.
         """
         for address in addresses:
             sent_at = self._clock.boottime()
             asked = ChangesAsked(self._log.revision)
             answer = await self._peers.request(address, asked, ANSWER_SECONDS)
-            if not isinstance(answer, ChangesTold):
+            if not isinstance(answer, ChangesTold) or not self._take(answer, sent_at):
                 continue
-            if answer.silence_seconds <= silence and self._take(answer, sent_at):
+            if answer.silence_seconds <= LARGEST_SILENCE_SECONDS:
                 return True
         return False
 
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -37,6 +37,7 @@
     items: tuple[Stored, ...]
     revision: int = 10
     mode: str = "ok"
+    calls: int = 0
 
     async def _fail(self, seconds: float) -> Result[Any, StoreFailure] | None:
         if self.mode == "ok":
@@ -46,9 +47,11 @@
         return Error(StoreFailure("store", self.mode))
 
     async def read_all(self):
+        self.calls += 1
         return await self._fail(1.0) or Ok(Snapshot(self.items, self.revision))
 
     async def follow(self, revision, seconds):
+        self.calls += 1
         failed = await self._fail(seconds + 0.5)
         if failed is None and self.revision <= revision:
             await asyncio.sleep(seconds)
@@ -205,3 +208,77 @@
             store.revision += 1
             await await_true(lambda: follower._failing_since is None, 4.0)
             assert follower.upstreams.find_grace(SystemClock().boottime()) > 1.0
+
+
+# Largest time in which an instance may learn that an upstream left. Requests that were
+# decided before that, and questions to dead neighbours, take the rest of 2 s.
+NEWS_SECONDS = 1.7
+
+
+class TestSilentStore:
+    async def test_a_watcher_hears_of_a_change_while_its_call_hangs(self):
+        # Guards against news that waits for the end of a call without an answer.
+        store = ScriptedStore((UPSTREAM, store_member(2, "b")))
+        peers = ScriptedPeers({"10.0.0.2:1": tell_removals(UPSTREAM.key)})
+        async with following_store(store, peers) as follower:
+            store.mode = "hang"
+            await await_true(lambda: not has_upstream(follower), NEWS_SECONDS)
+
+    async def test_an_instance_whose_watchers_lost_the_store_hears_of_a_change(
+        self, monkeypatch
+    ):
+        # Guards against a call that hangs before the neighbours are asked: all watchers
+        # and this instance lost the store at once, one neighbour has it.
+        members = [store_member(number) for number in (2, 3)]
+        store = ScriptedStore((UPSTREAM, *members))
+        started = SystemClock().boottime()
+
+        def tell_growing(asked: ChangesAsked) -> ChangesTold:
+            silence = SystemClock().boottime() - started
+            return ChangesTold(10, silence, silence)
+
+        peers = ScriptedPeers({"10.0.0.2:1": tell_growing})
+        async with following_store(store, peers) as follower:
+            monkeypatch.setattr(follower, "rank_watchers", lambda *_: ["10.0.0.2:1"])
+            store.mode = "hang"
+            peers.answers["10.0.0.3:1"] = tell_removals(UPSTREAM.key)
+            await await_true(lambda: not has_upstream(follower), NEWS_SECONDS)
+
+    async def test_neighbours_are_asked_until_one_is_fresh(self):
+        # Guards against old news that ends the search: near neighbours knew what this
+        # instance knew, and the one that had the store was not asked.
+        members = (store_member(2), store_member(3), store_member(4, "b"))
+        store = ScriptedStore((UPSTREAM, *members))
+        stale = tell_nothing(silence=2.0)
+        peers = ScriptedPeers(
+            {
+                "10.0.0.2:1": stale,
+                "10.0.0.3:1": stale,
+                "10.0.0.4:1": tell_removals(UPSTREAM.key),
+            }
+        )
+        async with following_store(store, peers) as follower:
+            follower.rank_watchers = lambda *_: [OWN.address]
+            store.mode = "refuse"
+            await await_true(lambda: not has_upstream(follower), 2.5)
+
+    async def test_the_store_is_not_called_while_a_watcher_is_fresh(self):
+        # Guards against calls at the store by every instance.
+        store = ScriptedStore((UPSTREAM, store_member(2)))
+        peers = ScriptedPeers({"10.0.0.2:1": tell_nothing(silence=0.5)})
+        async with following_store(store, peers) as follower:
+            follower.rank_watchers = lambda *_: ["10.0.0.2:1"]
+            await asyncio.sleep(following.WATCH_SECONDS + 0.5)
+            calls = store.calls
+            await asyncio.sleep(1.0)
+            assert store.calls == calls
+
+    async def test_an_older_answer_of_the_store_takes_nothing_back(self):
+        # Guards against a slow answer that undoes what a neighbour told meanwhile.
+        store = ScriptedStore((UPSTREAM, store_member(2, "b")))
+        async with following_store(store, ScriptedPeers()) as follower:
+            added = Stored("upstreams/u1", UPSTREAM.value, 20)
+            follower._apply(Changes((added,), 20))
+            follower._take_snapshot(Snapshot(store.items, 10), 0.0)
+            follower._take_changes(Changes(("upstreams/u1",), 15))
+            assert len(follower.upstreams.list_usable(SERVICE)) == 2
