Call a failing store every 0.5 s

Cause: the pause after a failed call was 0.25 s because the neighbours were asked after it. Refused calls are priced, and the news comes beside them now.

Ruled out: longer pauses. The pause adds to the time in which an instance without neighbours finds the store again.

Change: RETRY_SECONDS is 0.5.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -47,7 +47,8 @@
 WATCH_SECONDS = 0.8
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
-RETRY_SECONDS = 0.25
+# Refused calls are priced too; while the store fails, neighbours bring the news.
+RETRY_SECONDS = 0.5
 # A watcher reads all values this often: a watch that stays silent misses changes.
 REREAD_SECONDS = 10.0
 # How often a watcher is asked for changes.
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -273,6 +273,18 @@
             await asyncio.sleep(1.0)
             assert store.calls == calls
 
+    async def test_a_store_that_refuses_is_called_twice_a_second(self):
+        # Guards against the price of refused calls: 21 of 44 instances that were turned
+        # away for 20 s made 4171 calls in 32 s.
+        store = ScriptedStore((UPSTREAM, store_member(2, "b")))
+        peers = ScriptedPeers({"10.0.0.2:1": tell_nothing(silence=0.5)})
+        async with following_store(store, peers) as follower:
+            store.mode = "refuse"
+            await await_true(lambda: follower._failing_since is not None, 2.0)
+            calls = store.calls
+            await asyncio.sleep(2.0)
+            assert store.calls - calls <= 5
+
     async def test_an_older_answer_of_the_store_takes_nothing_back(self):
         # Guards against a slow answer that undoes what a neighbour told meanwhile.
         store = ScriptedStore((UPSTREAM, store_member(2, "b")))
