--- a/libraries/gateway/shallotspindle_gateway/borrowing_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borrowing_test.py
@@ -28,18 +28,23 @@
 
 
 class Directory:
-    def __init__(self, *domains):
+    def __init__(self, *domains, left=()):
         self._domains = domains
+        self._left = left
 
     def list_domains(self, service):
         return dict.fromkeys(self._domains, 3)
 
+    def has_left(self, name):
+        return name in self._left
+
 
 class Follower:
-    def __init__(self, *others):
+    def __init__(self, *others, left=()):
         members = (OWN, *others)
+        domains = sorted({member.domain for member in members})
         self.members = {member.address: member for member in members}
-        self.upstreams = Directory(*sorted({member.domain for member in members}))
+        self.upstreams = Directory(*domains, left=left)
 
 
 @dataclass
@@ -149,6 +154,44 @@
         assert (last.domain, last.outcome) == (A, Outcome.CANCELLED)
 
 
+@dataclass
+class LateLender(SlowLender):
+    """Peers whose lender lends the first of its upstreams that may be lent."""
+
+    upstreams: tuple[str, ...] = ("u1", "u2")
+    asked: list = field(default_factory=list)
+
+    async def request(self, address, message, timeout):
+        self.asked.append(message)
+        for name in self.upstreams:
+            if name not in message.avoid:
+                return SlotLent(message.number, UpstreamName(name), "10.9.0.1:80", 0.5)
+        return SlotRefused(message.number, Reason.NO_UPSTREAM, 1.0)
+
+
+class TestLeftUpstreams:
+    async def test_a_slot_of_an_upstream_that_left_goes_back(self):
+        # Guards against work for an upstream that left 2.2 s ago: the instance had
+        # heard of it and the lender had not.
+        peers = LateLender()
+        follower = Follower(LENDER, left=("u1",))
+        borrower = Borrower(OWN, follower, peers, SystemClock(), Random(1))
+        found = await borrower.borrow(build_want(1.0))
+        assert isinstance(found, Borrowed)
+        assert found.upstream == "u2"
+        (returned,) = [message for _, message in peers.sent]
+        assert (returned.upstream, returned.outcome) == ("u1", Outcome.CANCELLED)
+        assert returned.number == peers.asked[0].number
+
+    async def test_no_slot_is_used_when_all_upstreams_left(self):
+        peers = LateLender()
+        follower = Follower(LENDER, left=("u1", "u2"))
+        borrower = Borrower(OWN, follower, peers, SystemClock(), Random(1))
+        found = await borrower.borrow(build_want(1.0))
+        assert isinstance(found, SlotRefused)
+        assert found.reason is Reason.NO_UPSTREAM
+
+
 def count_draws(counts, own, populated) -> dict[FailureDomain | None, float]:
     random = Random(1)
     drawn = [draw_domain(counts, own, populated, random) for _ in range(DRAWS)]
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -1,7 +1,10 @@
 """Task that follows the store: configuration, upstreams, members and held rights.
 
 A few watchers in each failure domain watch the store; the others ask them for what
-changed and turn to the store only if no watcher is fresh. What the store said is
+changed and turn to the store only if no watcher is fresh. Neighbours are asked beside
+the calls at the store, so that a call without an answer delays no news: whoever was
+silent is passed over ``LARGEST_SILENCE_SECONDS`` after the last answer of the store
+that is known of, at the next poll. What the store said is
 *confirmed* as of the sending of the question to it, also when it came through a
 neighbour. A request with a key needs a confirmation that is younger than the time in
 which a withdrawn key must stop working.
@@ -9,7 +12,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Any
 
 from absl import logging
@@ -40,10 +43,12 @@
 # Each waiting watch is a call at the store; watchers of other domains stand in for one.
 WATCHER_COUNT = 1
 STAND_INS_ASKED = 2
-WATCH_SECONDS = 1.0
+# A pause and a watch without changes end before followers stop believing the watcher.
+WATCH_SECONDS = 0.8
 # Changes that come together are taken with one call.
 PAUSE_SECONDS = 0.2
-RETRY_SECONDS = 0.25
+# Refused calls are priced too; while the store fails, neighbours bring the news.
+RETRY_SECONDS = 0.5
 # A watcher reads all values this often: a watch that stays silent misses changes.
 REREAD_SECONDS = 10.0
 # How often a watcher is asked for changes.
@@ -52,17 +57,18 @@
 # Silence of the store after which a watcher is not believed. A change must be in force
 # within two seconds, also when the watcher is cut off right after an answer.
 LARGEST_SILENCE_SECONDS = 1.2
-# A neighbour is asked only when the store does not answer; what it knows is better than
-# nothing.
-LARGEST_NEIGHBOUR_SILENCE_SECONDS = 2.5
 NEIGHBOURS_ASKED = 3
+# Instances whose membership ended are still asked for this time: in an outage all
+# leases lapse, also those of instances that serve on and reach the store again.
+REMEMBERED_SECONDS = 30.0
 # Stands for an age without end in messages and logs.
 LONGEST_SECONDS = 9999.0
 EXPIRY_SLACK_SECONDS = 0.1
 # Shorter gaps leave no time for entries to lapse.
 OUTAGE_SECONDS = 1.0
-# While a neighbour confirmed the store within this time the store was not away,
-# whatever happened to the calls of this instance.
+# While the store answered a neighbour within this time the store was not away,
+# whatever happened to the calls of this instance. A watch without changes is answered
+# after ``WATCH_SECONDS``, and a poll and a pause come on top.
 UNHEARD_SECONDS = 1.6
 Listener = Callable[[], None]
 
@@ -95,10 +101,14 @@
         self._heard_at = float("-inf")
         # When the store began to fail, or None while it answers.
         self._failing_since: float | None = None
+        # Set while no watcher is believed, so that the store must be called.
+        self._is_needed = asyncio.Event()
         self._read_at = float("-inf")
         self.deployment: Deployment = NO_DEPLOYMENT
         self.upstreams = Directory()
         self.members: dict[str, Member] = {}
+        # Instances whose membership ended, with the time of that, in seconds.
+        self._former: dict[Member, float] = {}
         self.rights: dict[str, Stored] = {}
         peers.register(ChangesAsked, self._tell_changes)
 
@@ -117,23 +127,42 @@
 
     async def start(self) -> None:
         self.start_event.set()
+        while not self._log.revision:
+            await self._read_all()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow_store())
+            tasks.create_task(self._follow_neighbours())
+
+    async def _follow_store(self) -> None:
+        """Watch the store while no watcher is believed; a watcher always does."""
         while True:
-            if not self._log.revision:
-                await self._read_all()
-            elif await self._hear_watchers():
-                await asyncio.sleep(POLL_SECONDS)
-            elif not await self._watch():
-                await self._ask_neighbours(
-                    self.list_neighbours(), LARGEST_NEIGHBOUR_SILENCE_SECONDS
-                )
+            await self._is_needed.wait()
+            await self._watch()
+
+    async def _follow_neighbours(self) -> None:
+        """Ask the watchers, and everybody while the store does not answer."""
+        while True:
+            if await self._hear_watchers():
+                self._is_needed.clear()
+                self._failing_since = None
+            else:
+                self._is_needed.set()
+                if self._is_uninformed():
+                    asked = [*self._list_stand_ins(), *self.list_neighbours()]
+                    await self._ask_neighbours(asked)
+            await asyncio.sleep(POLL_SECONDS)
 
     async def _hear_watchers(self) -> bool:
         """Take changes from a watcher, unless this instance is one."""
         watchers = self.rank_watchers()
         if self._own.address in watchers:
             return False
-        asked = [*watchers, *self._list_stand_ins()]
-        return await self._ask_neighbours(asked, LARGEST_SILENCE_SECONDS)
+        return await self._ask_neighbours([*watchers, *self._list_stand_ins()])
+
+    def _is_uninformed(self) -> bool:
+        """Return whether the store fails, or was silent for too long."""
+        silence = self._clock.boottime() - self._heard_at
+        return self._failing_since is not None or silence > LARGEST_SILENCE_SECONDS
 
     # What the store says.
 
@@ -141,15 +170,20 @@
         asked_at = self._clock.boottime()
         match await self.store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
-                self._read_at = asked_at
-                self._note_store(asked_at)
-                self._apply(self._log.compare(snapshot))
+                self._note_store(asked_at, asked_at)
+                self._take_snapshot(snapshot, asked_at)
                 await asyncio.sleep(PAUSE_SECONDS)
                 return True
             case Result(tag="error", error=failure):
                 await self._note_failure(failure)
         return False
 
+    def _take_snapshot(self, snapshot: Snapshot, asked_at: float) -> None:
+        """Take all values, unless a neighbour told later ones meanwhile."""
+        if snapshot.revision >= self._log.revision:
+            self._read_at = asked_at
+            self._apply(self._log.compare(snapshot))
+
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it answered."""
         asked_at = self._clock.boottime()
@@ -157,12 +191,12 @@
             return await self._read_all()
         match await self.store.follow(self._log.revision, WATCH_SECONDS):
             case Result(tag="ok", ok=Changes() as changes):
-                if self._note_store(asked_at):
+                if self._note_store(asked_at, self._clock.boottime()):
                     return await self._read_all()
                 if not changes.events and changes.revision > self._log.revision:
                     logging.info("the watch passed over changes, read all values")
                     return await self._read_all()
-                self._apply(changes)
+                self._take_changes(changes)
                 if changes.events:
                     await asyncio.sleep(PAUSE_SECONDS)
                 return True
@@ -173,18 +207,33 @@
                 await self._note_failure(failure)
         return False
 
-    def _note_store(self, asked_at: float) -> bool:
-        """Count an answer; return whether the store was away before it."""
+    def _take_changes(self, changes: Changes) -> None:
+        """Take what a watch told, unless a neighbour told more meanwhile.
+
+        The changes begin where the watch was asked: those of an older answer would take
+        back what is known by now.
+        """
+        if changes.revision >= self._log.revision:
+            self._apply(changes)
+
+    def _note_store(self, asked_at: float, heard_at: float) -> bool:
+        """Count an answer; return whether the store was away before it.
+
+        :param heard_at: until when the answer tells all changes, in seconds.
+        """
         now = self._clock.boottime()
-        was_unheard = self.find_age(now) >= UNHEARD_SECONDS
+        # The wait for this answer is no silence of the store.
+        was_unheard = asked_at - self._heard_at >= UNHEARD_SECONDS
         since, self._failing_since = self._failing_since, None
-        self._confirm(asked_at, now)
-        if since is None or now - since < OUTAGE_SECONDS:
+        self._confirm(asked_at, heard_at)
+        if since is None:
             return False
-        logging.info("the store answers after %.1f s", now - since)
         if was_unheard:
             self.upstreams.note_outage_end(now)
             self._expire_later(GRACE_SECONDS)
+        elif now - since < OUTAGE_SECONDS:
+            return False
+        logging.info("the store answers after %.1f s", now - since)
         return True
 
     def _expire_later(self, seconds: float) -> None:
@@ -233,27 +282,40 @@
 
     def list_neighbours(self) -> list[str]:
         """Return the instances to ask when the store does not answer."""
-        near = {
-            m.address for m in self.members.values() if m.domain == self._own.domain
-        }
-        far = {m.address for m in self.members.values()} - near
+        present = set(self.members.values()) - {self._own}
+        former = self._list_former() - present
+        near, far = self._rank_neighbours(present)
+        former_near, former_far = self._rank_neighbours(former)
+        return [
+            *[*near, *former_near][: NEIGHBOURS_ASKED - 1],
+            *[*far, *former_far][:1],
+        ]
+
+    def _rank_neighbours(self, members: Set[Member]) -> tuple[list[str], list[str]]:
+        """Return the addresses in the own and in other domains, in a new order."""
+        near = {m.address for m in members if m.domain == self._own.domain}
+        far = {m.address for m in members} - near
         seed = f"neighbour {self._own.address} {self._clock.boottime():.1f}"
-        ranked = hashing.rank_rendezvous(seed, near - {self._own.address})
-        others = hashing.rank_rendezvous(seed, far)
-        return [*ranked[: NEIGHBOURS_ASKED - 1], *others[:1]]
+        return hashing.rank_rendezvous(seed, near), hashing.rank_rendezvous(seed, far)
+
+    def _list_former(self) -> set[Member]:
+        """Return the instances whose membership ended lately."""
+        since = self._clock.boottime() - REMEMBERED_SECONDS
+        self._former = {m: at for m, at in self._former.items() if at > since}
+        return self._former.keys() - {self._own}
 
-    async def _ask_neighbours(self, addresses: list[str], silence: float) -> bool:
-        """Take changes from the first neighbour that is fresh.
+    async def _ask_neighbours(self, addresses: list[str]) -> bool:
+        """Take changes from neighbours until one is fresh; return whether one is.
 
-        :param silence: how long the store may have been silent there, in seconds.
+        What the others know is taken too: it is better than nothing.
         """
         for address in addresses:
             sent_at = self._clock.boottime()
             asked = ChangesAsked(self._log.revision)
             answer = await self._peers.request(address, asked, ANSWER_SECONDS)
-            if not isinstance(answer, ChangesTold):
+            if not isinstance(answer, ChangesTold) or not self._take(answer, sent_at):
                 continue
-            if answer.silence_seconds <= silence and self._take(answer, sent_at):
+            if answer.silence_seconds <= LARGEST_SILENCE_SECONDS:
                 return True
         return False
 
@@ -265,7 +327,7 @@
             for key, value, revision, is_removed in told.events
         )
         now = self._clock.boottime()
-        if told.grace_seconds > 0 and self.find_age(now) >= UNHEARD_SECONDS:
+        if told.grace_seconds > 0 and sent_at - self._heard_at >= UNHEARD_SECONDS:
             self.upstreams.distrust(told.grace_seconds, now)
             self._expire_later(told.grace_seconds)
         self._apply(Changes(events, told.revision))
@@ -306,7 +368,9 @@
     def _forget(self, key: str, now: float) -> None:
         if self._decoder.is_announcement(key):
             self.upstreams.remove(self._decoder.name_upstream(key), now)
-        self.members.pop(key, None)
+        member = self.members.pop(key, None)
+        if member is not None:
+            self._former[member] = now
         self.rights.pop(key, None)
 
     def _learn_announcement(self, item: Stored, now: float) -> None:
