Let the front end drain its callers

The steps of a planned stop that concern callers stood in Daemon._stop, where only tests with real processes reach them. Frontend.drain has them now, in the same order; the hand-over of the partitions stays with the daemon. No behaviour changes. Checked: the 34 tests of edge_test.py pass.

--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -181,15 +181,9 @@
 
     async def _stop(self) -> None:
         logging.info("the planned stop begins")
-        self._lifecycle.stage = Stage.STOPPING
-        await asyncio.sleep(self._settings.stop_wait_seconds)
-        await self._frontend.close_listener()
-        self._lifecycle.stage = Stage.CLOSED
-        if not await self._lifecycle.wait_idle(self._settings.stop_limit_seconds):
-            logging.warning("%d requests are cut", self._lifecycle.running)
-        lost = await self._fleet.ownership.hand_over_all(
-            self._settings.stop_limit_seconds
-        )
+        limit = self._settings.stop_limit_seconds
+        await self._frontend.drain(self._settings.stop_wait_seconds, limit)
+        lost = await self._fleet.ownership.hand_over_all(limit)
         if lost:
             logging.warning("%d partitions have no successor", lost)
         logging.info("the planned stop ends")
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -6,6 +6,7 @@
 import uuid
 from typing import Any
 
+from absl import logging
 from aiohttp import web
 from aiomisc import Service
 
@@ -67,6 +68,19 @@
         """Accept no more connections; those that are open stay."""
         self._server.close()
 
+    async def drain(self, wait_seconds: float, limit_seconds: float) -> None:
+        """Serve callers until the planned stop may go on.
+
+        :param wait_seconds: time until the balancer knows of the stop.
+        :param limit_seconds: longest time afterwards to wait for requests in work.
+        """
+        self._lifecycle.stage = Stage.STOPPING
+        await asyncio.sleep(wait_seconds)
+        await self.close_listener()
+        self._lifecycle.stage = Stage.CLOSED
+        if not await self._lifecycle.wait_idle(limit_seconds):
+            logging.warning("%d requests are cut", self._lifecycle.running)
+
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
         await self._runner.cleanup()
