Answer at a planned stop of the entry daemon what still waits or runs

What callers see: the connection closes without an answer when the stop limit has passed: a request that waits for a token or an upstream, an upload whose body still arrives, one that upstreams shed and that waits again, and one at a hanging upstream. Cause: after the limit the stop only logged how many requests were left; then the process ended under them. Change: the pipeline knows its running calls. At 0.8 of the limit those that no upstream can have run get 503 stopping with not-run (a key that was granted is given back), at the limit all others get 504 stopped with unknown; an answer that has begun is aborted. Progress tells whether an upstream may have run the call; the executor keeps it. TestPlannedStop moves from edge_test.py to stopping_test.py with its assertions.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -93,6 +93,9 @@
     upstream: ScriptedUpstream
     lifecycle: Lifecycle
     frontend: Frontend
+    listener: socket.socket
+    admission: local_test.UnlimitedAdmission
+    balancer: local_test.LocalBalancer
 
     async def send(self, data: bytes) -> bytes:
         """Send raw bytes and return all that comes back until the end."""
@@ -143,10 +146,18 @@
     admission = local_test.UnlimitedAdmission()
     pipeline = Pipeline(tasks, gate, admission, claims, executor, lifecycle, clock)
     listener = socket.create_server(("127.0.0.1", 0))
-    frontend = Frontend(pipeline, lifecycle, RequestMetrics(), listener)
+    frontend = Frontend(pipeline, lifecycle, RequestMetrics(), clock, listener)
     await forwarder.start()
     await frontend.start()
-    yield Edge(listener.getsockname()[1], upstream, lifecycle, frontend)
+    yield Edge(
+        listener.getsockname()[1],
+        upstream,
+        lifecycle,
+        frontend,
+        listener,
+        admission,
+        balancer,
+    )
     await frontend.stop()
     await forwarder.stop()
     server.close()
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -102,7 +102,12 @@
         )
         context, tasks = self._build_tls()
         frontend = Frontend(
-            pipeline, self._lifecycle, self._metrics, self._callers, context
+            pipeline,
+            self._lifecycle,
+            self._metrics,
+            self._clock,
+            self._callers,
+            context,
         )
         return frontend, tasks
 
--- a/libraries/entry/shallotspindle_entry/edge_test.py
+++ b/libraries/entry/shallotspindle_entry/edge_test.py
@@ -263,28 +263,6 @@
         assert edge.upstream.received == []
 
 
-class TestPlannedStop:
-    async def test_request_in_work_is_answered(self, edge):
-        # Guards against a planned stop that cuts a request.
-        started, release = asyncio.Event(), asyncio.Event()
-
-        async def wait(reader, writer):
-            await edge.upstream.read_head(reader)
-            started.set()
-            await release.wait()
-            writer.write(OK)
-            await writer.drain()
-
-        edge.upstream.scripts = [wait]
-        sending = asyncio.create_task(edge.get())
-        await started.wait()
-        await edge.frontend.close_listener()
-        stopping = asyncio.create_task(edge.lifecycle.wait_idle(60))
-        release.set()
-        assert b"whole" in await sending
-        assert await stopping
-
-
 class TestTls:
     async def test_changed_certificate_is_loaded(self, tmp_path):
         # Guards against a daemon that serves a certificate until it expires.
--- a/libraries/entry/shallotspindle_entry/execution.py
+++ b/libraries/entry/shallotspindle_entry/execution.py
@@ -44,6 +44,20 @@
         return isinstance(answer, Problem) and answer.outcome is Outcome.NOT_RUN
 
 
+@dataclass(slots=True)
+class Progress:
+    """How far a call has come.
+
+    :param granted: whether its idempotency key was granted to it.
+    :param forwarded: whether it was sent to an upstream.
+    :param may_have_run: whether an upstream may have run it, or still may.
+    """
+
+    granted: bool = False
+    forwarded: bool = False
+    may_have_run: bool = False
+
+
 class Executor:
     """Tries upstreams for one call after the other; holds no state of calls."""
 
@@ -59,40 +73,51 @@
         self._clock = clock
         self._random = random
 
-    async def run(self, call: Call, request: web.Request) -> Executed:
-        """Run a call whose body was kept or can be streamed once."""
+    async def run(
+        self, call: Call, request: web.Request, progress: Progress
+    ) -> Executed:
+        """Run a call whose body was kept or can be streamed once.
+
+        :param progress: kept up to date, for whoever ends the call early.
+        """
         exchange = Exchange(self._forwarder, self._clock, request, call)
         fingerprint = calls.fingerprint_request(call)
         tried: frozenset[UpstreamName] = frozenset()
-        may_have_run = False
         last: Attempt | None = None
         while True:
             assigned = await self._balancer.assign(
                 call.route.service, call.team, fingerprint, tried, call.deadline
             )
             if not isinstance(assigned, Assignment):
-                problem = self._describe_refusal(assigned, may_have_run, bool(tried))
+                problem = self._describe_refusal(assigned, progress)
                 return Executed(problem, None, last.result if last else None)
-            last = await self._attempt(exchange, call, assigned)
-            may_have_run = may_have_run or not last.not_run
+            last = await self._attempt(exchange, call, assigned, progress)
             tried |= {assigned.upstream.name}
             if last.response is not None:
                 return Executed(last.response, last.stored, last.result)
             delay = self._find_delay(call, last, len(tried))
             if delay is None:
-                problem = self._describe_failure(call, last, may_have_run)
+                problem = self._describe_failure(call, last, progress.may_have_run)
                 return Executed(problem, None, last.result)
             await asyncio.sleep(delay)
 
     async def _attempt(
-        self, exchange: Exchange, call: Call, assigned: Assignment
+        self,
+        exchange: Exchange,
+        call: Call,
+        assigned: Assignment,
+        progress: Progress,
     ) -> Attempt:
         seconds = call.deadline - self._clock.boottime()
         sample = Sample(samples.Outcome.CANCELLED, 0.0)
         try:
             if seconds <= 0:
                 return Attempt(samples.Outcome.CANCELLED, not_run=True)
+            may_have_run = progress.may_have_run
+            # True until the attempt shows otherwise: it may be broken off.
+            progress.forwarded = progress.may_have_run = True
             attempt = await exchange.run(assigned.upstream, seconds)
+            progress.may_have_run = may_have_run or not attempt.not_run
             sample = attempt.describe()
             return attempt
         finally:
@@ -119,11 +144,12 @@
 
     @staticmethod
     def _describe_refusal(
-        refusal: NoCapacity | RequestHeld, may_have_run: bool, forwarded: bool
+        refusal: NoCapacity | RequestHeld, progress: Progress
     ) -> Problem:
+        forwarded = progress.forwarded
         if isinstance(refusal, RequestHeld):
             return replace(problems.HELD, forwarded=forwarded)
-        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+        outcome = Outcome.UNKNOWN if progress.may_have_run else Outcome.NOT_RUN
         return replace(problems.NO_CAPACITY, outcome=outcome, forwarded=forwarded)
 
     @staticmethod
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -10,10 +10,12 @@
 from aiohttp import web
 from aiomisc import Service
 
+from shallotspindle_core.clock import Clock
 from shallotspindle_entry import problems
 from shallotspindle_entry.callers import SLOW_ANSWER, CallerConnection
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import CALL, PROBLEM, Pipeline
+from shallotspindle_entry.stopping import StopPlan
 from shallotspindle_telemetry.metrics import RequestMetrics
 
 FIRST_REQUEST_SECONDS = 10.0
@@ -42,6 +44,7 @@
         pipeline: Pipeline,
         lifecycle: Lifecycle,
         metrics: RequestMetrics,
+        clock: Clock,
         listener: socket.socket,
         tls: ssl.SSLContext | None = None,
         **kwargs: Any,
@@ -50,6 +53,7 @@
         self._pipeline = pipeline
         self._lifecycle = lifecycle
         self._metrics = metrics
+        self._clock = clock
         self._listener = listener
         self._tls = tls
         self._unserved: dict[asyncio.Protocol, asyncio.TimerHandle] = {}
@@ -72,14 +76,22 @@
         """Serve callers until the planned stop may go on.
 
         :param wait_seconds: time until the balancer knows of the stop.
-        :param limit_seconds: longest time afterwards to wait for requests in work.
+        :param limit_seconds: time from then until what still runs is answered.
         """
+        plan = StopPlan(self._clock.boottime() + wait_seconds, limit_seconds)
         self._lifecycle.stage = Stage.STOPPING
         await asyncio.sleep(wait_seconds)
         await self.close_listener()
         self._lifecycle.stage = Stage.CLOSED
-        if not await self._lifecycle.wait_idle(limit_seconds):
+        if not await self._wait_idle(plan.refuses_at):
+            self._pipeline.refuse_unsent()
+        if not await self._wait_idle(plan.ends_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
+            self._pipeline.end()
+
+    async def _wait_idle(self, until: float) -> bool:
+        left = until - self._clock.boottime()
+        return await self._lifecycle.wait_idle(max(0.0, left))
 
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
--- a/libraries/entry/shallotspindle_entry/pipeline.py
+++ b/libraries/entry/shallotspindle_entry/pipeline.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
 from aiohttp import web
@@ -17,7 +17,7 @@
 from shallotspindle_entry.bodies import KEPT_BYTES, KEYED_BYTES
 from shallotspindle_entry.calls import Call
 from shallotspindle_entry.configuration import ConfigurationTask
-from shallotspindle_entry.execution import Executed, Executor
+from shallotspindle_entry.execution import Executed, Executor, Progress
 from shallotspindle_entry.gate import Gate, Refusal
 from shallotspindle_entry.interfaces import (
     Admission,
@@ -55,6 +55,45 @@
     return response
 
 
+@dataclass(slots=True, eq=False)
+class Running:
+    """A call that passed the gate and is not answered yet.
+
+    :param task: what a planned stop ends; work with an effect has a task of its own.
+    :param ended: whether a planned stop ended it.
+    """
+
+    call: Call
+    task: asyncio.Task
+    progress: Progress = field(default_factory=Progress)
+    ended: bool = False
+
+    def end(self) -> None:
+        """End the call; its caller is answered with what is known of it."""
+        if not self.ended:
+            self.ended = True
+            self.task.cancel()
+
+    def describe_end(self) -> Problem:
+        """Return the answer to a call that a planned stop ended."""
+        if self.progress.may_have_run:
+            return problems.STOPPED
+        problem = replace(problems.STOPPING, forwarded=self.progress.forwarded)
+        not_looked_up = self.call.keyed and not self.progress.granted
+        return problems.weaken(problem, not_looked_up)
+
+
+def abort_begun(request: web.Request) -> bool:
+    """End the connection if an answer has begun on it; return whether it has.
+
+    An end in the usual way would make half an answer look whole.
+    """
+    begun = request.writer.output_size > 0
+    if begun and request.transport is not None:
+        request.transport.abort()
+    return begun
+
+
 class Pipeline:
     """Serves requests; all state belongs to the tasks that it asks."""
 
@@ -75,6 +114,8 @@
         self._executor = executor
         self._lifecycle = lifecycle
         self._clock = clock
+        self._running: set[Running] = set()
+        self._refuses = False
 
     async def serve(self, request: web.Request) -> web.StreamResponse | Problem:
         """Answer a request; the request id is set on every answer."""
@@ -84,28 +125,63 @@
             request[PROBLEM] = problem
             return problems.build_response(problem, admitted.request_id)
         request[CALL] = admitted
-        answer = await self._serve_call(admitted, request)
+        answer = await self._serve_until_ended(admitted, request)
         if isinstance(answer, Problem):
             request[PROBLEM] = answer
             return problems.build_response(answer, admitted.request_id)
         return answer
 
-    async def _serve_call(
+    def refuse_unsent(self) -> None:
+        """Refuse what no upstream can have run, now and from now on."""
+        self._refuses = True
+        for running in self._running:
+            if not running.progress.may_have_run:
+                running.end()
+
+    def end(self) -> None:
+        """Answer what still runs; whether it ran to its end stays unknown."""
+        for running in self._running:
+            running.end()
+
+    async def _serve_until_ended(
         self, call: Call, request: web.Request
     ) -> web.StreamResponse | Problem:
+        handler = asyncio.current_task()
+        running = Running(call, handler)
+        if self._refuses:
+            return running.describe_end()
+        self._running.add(running)
+        try:
+            return await self._serve_call(running, request)
+        except asyncio.CancelledError:
+            if not running.ended or abort_begun(request):
+                raise
+            handler.uncancel()
+            return running.describe_end()
+        finally:
+            if running.task is handler:
+                self._running.discard(running)
+
+    async def _serve_call(
+        self, running: Running, request: web.Request
+    ) -> web.StreamResponse | Problem:
+        call = running.call
         refused = await self._acquire(call) or await self._keep_body(call)
         if refused is not None:
             return problems.weaken(refused, call.keyed)
         if call.idempotent:
-            return (await self._executor.run(call, request)).answer
+            return (await self._executor.run(call, request, running.progress)).answer
         if call.keyed:
             refused = await self._claim(call)
             if refused is not None:
                 return refused
+        running.progress.granted = True
         # Work with an effect goes on when the caller leaves: a cut in the middle would
         # leave its outcome unknown, and a repeat with the key finds the answer.
-        running = asyncio.create_task(self._run_with_effect(call, request))
-        return await asyncio.shield(running)
+        work = asyncio.create_task(self._run_with_effect(running, request))
+        work.add_done_callback(lambda _: self._running.discard(running))
+        running.task = work
+        return await asyncio.shield(work)
 
     async def _await_holder(
         self,
@@ -161,20 +237,22 @@
         return CLAIM_PROBLEMS[answer.state]
 
     async def _run_with_effect(
-        self, call: Call, request: web.Request
+        self, running: Running, request: web.Request
     ) -> web.StreamResponse | Problem:
         executed: Executed | None = None
         self._lifecycle.enter()
         try:
-            executed = await self._executor.run(call, request)
+            executed = await self._executor.run(running.call, request, running.progress)
             return executed.answer
         finally:
             self._lifecycle.leave()
-            if call.keyed:
-                await self._report(call, executed)
+            if running.call.keyed:
+                await self._report(running, executed)
 
-    async def _report(self, call: Call, executed: Executed | None) -> None:
-        if executed is not None and executed.not_run:
+    async def _report(self, running: Running, executed: Executed | None) -> None:
+        call = running.call
+        not_run = executed.not_run if executed else not running.progress.may_have_run
+        if not_run:
             await self._claims.abandon(call.team, call.key)
             return
         stored = executed.stored if executed else None
--- a/libraries/entry/shallotspindle_entry/problems.py
+++ b/libraries/entry/shallotspindle_entry/problems.py
@@ -94,6 +94,16 @@
 NO_CAPACITY = Problem(
     503, "no-capacity", "No upstream is available", Outcome.NOT_RUN, retry_after=1
 )
+STOPPING = Problem(
+    503, "stopping", "The instance stops", Outcome.NOT_RUN, retry_after=1
+)
+STOPPED = Problem(
+    504,
+    "stopped",
+    "The instance stopped before the upstream answered",
+    Outcome.UNKNOWN,
+    True,
+)
 HELD = Problem(
     422, "request-held", "The request crashed upstreams before", Outcome.UNKNOWN
 )
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/stopping.py
@@ -0,0 +1,30 @@
+"""Times of a planned stop."""
+
+from dataclasses import dataclass
+
+# Part of the limit after which nothing is sent to upstreams any more: it could be
+# broken off there at the limit.
+SENDING_PART = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class StopPlan:
+    """Times of one planned stop, in seconds on the instance's clock.
+
+    :param closes_at: when the balancer knows of the stop, so that no connection is
+        accepted any more.
+    :param limit_seconds: longest time from then until every request is answered.
+    """
+
+    closes_at: float
+    limit_seconds: float
+
+    @property
+    def refuses_at(self) -> float:
+        """When what no upstream can have run is refused."""
+        return self.closes_at + SENDING_PART * self.limit_seconds
+
+    @property
+    def ends_at(self) -> float:
+        """When what still runs is answered."""
+        return self.closes_at + self.limit_seconds
--- /dev/null
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -0,0 +1,165 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+from shallotspindle_entry.conftest import KEY
+from shallotspindle_entry.edge_test import LONG_SECONDS, OK, post, read_problem
+
+# Time for requests in work at the planned stops of these tests.
+LIMIT_SECONDS = 0.4
+# Ends a run that hangs.
+GUARD_SECONDS = 10
+SHED = b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+GET_LINES = (
+    f"GET /records/1 HTTP/1.1\r\nHost: shop.test\r\nAuthorization: Bearer {KEY}"
+).encode()
+GET_REQUEST = GET_LINES + b"\r\n\r\n"
+
+
+class RawCaller:
+    """Caller that writes and reads at its own pace."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self._writer = writer
+
+    def write(self, data):
+        self._writer.write(data)
+
+    async def read(self):
+        """Return all bytes until the connection ends."""
+        async with asyncio.timeout(GUARD_SECONDS):
+            return await self.reader.read()
+
+
+@asynccontextmanager
+async def connect(edge):
+    """Yield a caller; its connection ends with the block."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", edge.port)
+    try:
+        yield RawCaller(reader, writer)
+    finally:
+        writer.close()
+
+
+async def wait_forever(*_):
+    await asyncio.Event().wait()
+
+
+def hang(edge, begun=b""):
+    """Return a script that begins an answer and does not end it."""
+
+    async def run(reader, writer):
+        await edge.upstream.read_head(reader)
+        writer.write(begun)
+        await reader.read()
+
+    return run
+
+
+async def await_true(condition):
+    async with asyncio.timeout(GUARD_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def read_at_stop(edge, request, is_due=None):
+    """Send a request, stop while it is in work, and return its answer.
+
+    :param is_due: tells whether the request is where the stop is to find it.
+    """
+    async with connect(edge) as caller:
+        caller.write(request)
+        await await_true(is_due or (lambda: edge.lifecycle.running))
+        await edge.frontend.drain(0, LIMIT_SECONDS)
+        return await caller.read()
+
+
+def check_refusal(answer):
+    """Check that an answer sends the caller elsewhere and that nothing ran."""
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Connection: close" in answer
+    problem = read_problem(answer)
+    assert (problem["type"].rsplit(":")[-1], problem["outcome"]) == (
+        "stopping",
+        "not-run",
+    )
+
+
+class TestPlannedStop:
+    async def test_request_in_work_is_answered(self, edge):
+        # Guards against a planned stop that cuts a request.
+        started, release = asyncio.Event(), asyncio.Event()
+
+        async def wait(reader, writer):
+            await edge.upstream.read_head(reader)
+            started.set()
+            await release.wait()
+            writer.write(OK)
+            await writer.drain()
+
+        edge.upstream.scripts = [wait]
+        sending = asyncio.create_task(edge.get())
+        await started.wait()
+        stopping = asyncio.create_task(edge.frontend.drain(0, LONG_SECONDS))
+        release.set()
+        assert b"whole" in await sending
+        await stopping
+
+    async def test_request_that_waits_for_an_upstream_is_refused(
+        self, edge, monkeypatch
+    ):
+        # Guards against a wait in a queue that the end of the process cuts.
+        monkeypatch.setattr(edge.balancer, "assign", wait_forever)
+        check_refusal(await read_at_stop(edge, GET_REQUEST))
+
+    async def test_request_that_waits_for_a_token_is_refused(self, edge, monkeypatch):
+        monkeypatch.setattr(edge.admission, "acquire", wait_forever)
+        check_refusal(await read_at_stop(edge, GET_REQUEST))
+
+    async def test_body_that_still_arrives_is_refused(self, edge):
+        # Guards against a closed connection under an upload over a slow link.
+        request = post("/records/photo", "x" * 1000)[:-500]
+        check_refusal(await read_at_stop(edge, request))
+        assert edge.upstream.received == []
+
+    async def test_shed_request_that_waits_again_did_not_run(self, edge, monkeypatch):
+        # Guards against an unknown outcome where the upstream shed the request.
+        edge.upstream.scripts = [edge.upstream.answer(SHED)]
+        assign = edge.balancer.assign
+
+        async def assign_once(service, team, fingerprint, tried, deadline):
+            if tried:
+                await wait_forever()
+            return await assign(service, team, fingerprint, tried, deadline)
+
+        monkeypatch.setattr(edge.balancer, "assign", assign_once)
+        request = post("/deposits", "x", "Idempotency-Key: k1")
+        answer = await read_at_stop(edge, request, edge.upstream.ended.is_set)
+        check_refusal(answer)
+        assert read_problem(answer)["attempt"] == "forwarded"
+
+    async def test_key_of_a_refused_request_is_not_looked_up(self, edge, monkeypatch):
+        # Guards against "not-run" for a repeat whose first request did run.
+        monkeypatch.setattr(edge.admission, "acquire", wait_forever)
+        request = post("/deposits", "x", "Idempotency-Key: k1")
+        problem = read_problem(await read_at_stop(edge, request))
+        assert problem["outcome"] == "unknown"
+        assert problem["attempt"] == "not-forwarded"
+
+    async def test_request_at_a_hanging_upstream_has_an_unknown_outcome(self, edge):
+        # Guards against a connection that ends without an answer.
+        edge.upstream.scripts = [hang(edge)]
+        request = post("/deposits", "x", "Idempotency-Key: k1")
+        answer = await read_at_stop(edge, request, lambda: edge.upstream.received)
+        assert answer.startswith(b"HTTP/1.1 504 ")
+        problem = read_problem(answer)
+        assert (problem["outcome"], problem["attempt"]) == ("unknown", "forwarded")
+
+    async def test_stream_without_an_end_does_not_look_whole(self, edge):
+        begun = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+        edge.upstream.scripts = [hang(edge, begun)]
+        async with connect(edge) as caller:
+            caller.write(GET_REQUEST)
+            await caller.reader.readuntil(b"part")
+            await edge.frontend.drain(0, LIMIT_SECONDS)
+            assert not (await caller.read()).endswith(b"0\r\n\r\n")
