--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 from aiohttp import web
 
@@ -25,6 +26,7 @@
 from shallotspindle_gateway.messages import TokenDenied, TokenGiven
 from shallotspindle_gateway.records import Bounds, Deployment, Settings
 from shallotspindle_gateway.refusals import Refusal
+from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_keys import directory
 from shallotspindle_lending.records import Outcome, Reason
 from shallotspindle_routing import routes
@@ -41,6 +43,8 @@
     BodyFault.SLOW: refusals.SLOW_CALLER,
     BodyFault.TOO_LARGE: refusals.BODY_TOO_LARGE,
 }
+# After these an upstream certainly did not run the request.
+NOT_RUN_OUTCOMES = frozenset({Outcome.MISDIRECTED, Outcome.NOT_CONNECTED, Outcome.SHED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,11 +64,22 @@
     until: float
 
 
+class Step(StrEnum):
+    """How far a request came; ``SENT`` once an upstream may have got it."""
+
+    CHECKS = "checks"
+    BODY = "body"
+    TOKEN = "token"
+    SLOT = "slot"
+    SENT = "sent"
+
+
 @dataclass(slots=True)
 class Trace:
     """What the log says of a request.
 
     :param age: time since the last confirmation of the configuration, in seconds.
+    :param step: where the request was when it ended.
     :param no_slot: why no slot was lent, if that ended the request.
     """
 
@@ -75,9 +90,30 @@
     team: str = ""
     service: str = ""
     no_slot: str = ""
+    step: Step = Step.CHECKS
     sends: list[Sent] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Running:
+    """A request that passed all checks.
+
+    :param orders: number of its sends to upstreams, the one on its way included.
+    """
+
+    trace: Trace
+    repeatable: bool = False
+    orders: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request, or still may."""
+        ended = self.trace.sends
+        if self.orders > len(ended):
+            return True
+        return any(sent.outcome not in NOT_RUN_OUTCOMES for sent in ended)
+
+
 def choose_service(route: Route, random: RandomSource) -> ServiceName:
     """Draw the service of a request in proportion to the weights of a route."""
     if not route.split:
@@ -117,8 +153,8 @@
         self._executor = executor
         self._clock = clock
         self._random = random
-        # Requests that passed all checks, with what was sent for them.
-        self._runs: dict[asyncio.Task[Answer | Failed], list[Order]] = {}
+        self._running: dict[asyncio.Task[Answer | Refusal], Running] = {}
+        self._stop: StopPlan | None = None
         self._refuses = False
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -131,16 +167,40 @@
         call = self._check(request, trace, arrived)
         if isinstance(call, Refusal):
             return call
+        if self._refuses or not self._admits(call):
+            return refusals.STOPPING
+        running = Running(trace)
+        task = asyncio.create_task(self._run(call, running))
+        self._running[task] = running
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return self._conclude_stop(running)
+            # Work with an effect goes on when its caller leaves: a cut in the middle
+            # would leave unknown whether it ran. What was not sent yet is dropped.
+            if running.repeatable or not running.may_have_run:
+                task.cancel()
+            raise
+        finally:
+            del self._running[task]
+
+    def _admits(self, call: Call) -> bool:
+        return self._stop is None or self._stop.admits(call.arrived, call.until)
+
+    async def _run(self, call: Call, running: Running) -> Answer | Refusal:
+        running.trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
-        body = await bodies.read_body(request, largest)
+        body = await bodies.read_body(call.request, largest)
         if isinstance(body, BodyFault):
             return BODY_REFUSALS[body]
+        running.trace.step = Step.TOKEN
         refused = await self._acquire(call)
         if refused is not None:
             return refused
         if call.team is not None and not self.is_fresh():
             return refusals.STALE
-        return await self._execute(call, body, trace)
+        return await self._execute(call, body, running)
 
     def is_fresh(self) -> bool:
         """Return whether a withdrawn key would be known here."""
@@ -198,48 +258,48 @@
             return replace(refusals.RATE_EXCEEDED, retry_after=max(0.05, wait))
         return refusals.RATE_UNKNOWN
 
-    async def _execute(self, call: Call, body: Body, trace: Trace) -> Answer | Refusal:
+    async def _execute(
+        self, call: Call, body: Body, running: Running
+    ) -> Answer | Refusal:
+        trace = running.trace
+        trace.step = Step.SLOT
         want = self._build_want(call, body)
+        running.repeatable = want.repeatable
         attempts = call.route.attempts if body.repeatable else 1
-        sent: list[Order] = []
 
         def build(slot: Borrowed, seconds: float) -> Order:
-            sent.append(self._build_order(call, body, slot, seconds))
-            return sent[-1]
+            trace.step = Step.SENT
+            running.orders += 1
+            return self._build_order(call, body, slot, seconds)
 
-        running = self._executor.run(want, attempts, build, trace.sends)
-        task = asyncio.create_task(running)
-        self._runs[task] = sent
-        if self._refuses:
-            task.cancel()
-        try:
-            return self._conclude(await asyncio.shield(task), trace)
-        except asyncio.CancelledError:
-            if task.cancelled():
-                return refusals.UPSTREAM_TIMEOUT if sent else refusals.NO_SLOT
-            # Work with an effect goes on when its caller leaves: a cut in the middle
-            # would leave unknown whether it ran. What was not sent yet is dropped.
-            if want.repeatable or not sent:
-                task.cancel()
-            raise
-        finally:
-            del self._runs[task]
+        result = await self._executor.run(want, attempts, build, trace.sends)
+        return self._conclude(result, trace)
+
+    def begin_stop(self, plan: StopPlan) -> None:
+        """Refuse from now on what may outlast the stop."""
+        self._stop = plan
 
     def refuse_unsent(self) -> None:
-        """Refuse what waits for a slot, now and from now on.
+        """Refuse what did not run, now and from now on.
 
-        The process ends before a slot may come, and nothing of it has run.
+        The process ends before its body, its token or its slot may come.
         """
         self._refuses = True
-        for task, sent in self._runs.items():
-            if not sent:
+        for task, running in self._running.items():
+            if not running.may_have_run:
                 task.cancel()
 
     def end(self) -> None:
         """Answer what still runs; whether it ran to its end stays unknown."""
-        for task in self._runs:
+        for task in self._running:
             task.cancel()
 
+    @staticmethod
+    def _conclude_stop(running: Running) -> Refusal:
+        if running.may_have_run:
+            return refusals.UPSTREAM_TIMEOUT
+        return refusals.STOPPING
+
     def _build_want(self, call: Call, body: Body) -> Want:
         request = call.request
         team = call.team.name if call.team else NO_TEAM
