Close idle connections at a planned stop of the entry daemon

What callers see: a request on a connection that was kept open, or whose header lines still arrived, is served after the stop stopped waiting for requests; it is sent to an upstream and broken off when the process ends. Cause: the stop waited until no request was counted, once, and left all connections open; a request is counted when its header lines are whole. Whatever arrived during the hand-over of the partitions was served without regard to the end. Change: when the listener is closed, each connection is closed as soon as it is idle, and the stop waits for all. StopPlan.admits decides on a request that arrives after the balancer had its time: its deadline has to pass before the stop ends; others get 503.

--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -24,6 +24,7 @@
 LINGERING_SECONDS = 2.0
 READ_BUFFER_BYTES = 64 * 1024
 HEADER_LINE_BYTES = 8190
+IDLE_CHECK_SECONDS = 0.02
 
 
 def build_problem(is_malformed: bool) -> web.Response:
@@ -56,6 +57,8 @@
         self._clock = clock
         self._listener = listener
         self._tls = tls
+        # Connections that the planned stop closed; they end a little later.
+        self._closed: set[CallerConnection] = set()
         self._unserved: dict[asyncio.Protocol, asyncio.TimerHandle] = {}
 
     async def start(self) -> None:
@@ -79,19 +82,46 @@
         :param limit_seconds: time from then until what still runs is answered.
         """
         plan = StopPlan(self._clock.boottime() + wait_seconds, limit_seconds)
+        self._pipeline.begin_stop(plan)
         self._lifecycle.stage = Stage.STOPPING
         await asyncio.sleep(wait_seconds)
         await self.close_listener()
         self._lifecycle.stage = Stage.CLOSED
-        if not await self._wait_idle(plan.refuses_at):
+        if not await self._close_connections(plan.refuses_at):
             self._pipeline.refuse_unsent()
-        if not await self._wait_idle(plan.ends_at):
+        if not await self._close_connections(plan.ends_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
             self._pipeline.end()
 
-    async def _wait_idle(self, until: float) -> bool:
-        left = until - self._clock.boottime()
-        return await self._lifecycle.wait_idle(max(0.0, left))
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request arrives or runs."""
+        idle = all(connection.is_idle for connection in self._list_open())
+        return idle and not self._lifecycle.running
+
+    def _list_open(self) -> set[CallerConnection]:
+        return set(self._runner.server.connections) - self._closed
+
+    async def _close_connections(self, until: float) -> bool:
+        """Close each connection when it is idle.
+
+        :param until: when to give up, in seconds.
+        :returns: whether no request arrived or ran any more before that.
+        """
+        self._close_idle()
+        while not self.is_idle:
+            left = until - self._clock.boottime()
+            if left <= 0:
+                return False
+            await asyncio.sleep(min(left, IDLE_CHECK_SECONDS))
+            self._close_idle()
+        return True
+
+    def _close_idle(self) -> None:
+        for connection in self._list_open():
+            if connection.is_idle:
+                connection.force_close()
+                self._closed.add(connection)
 
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
--- a/libraries/entry/shallotspindle_entry/pipeline.py
+++ b/libraries/entry/shallotspindle_entry/pipeline.py
@@ -30,6 +30,7 @@
 )
 from shallotspindle_entry.lifecycle import Lifecycle
 from shallotspindle_entry.problems import Problem
+from shallotspindle_entry.stopping import StopPlan
 
 T = TypeVar("T")
 # A hand-over of a group of partitions takes some tens of milliseconds.
@@ -115,6 +116,7 @@
         self._lifecycle = lifecycle
         self._clock = clock
         self._running: set[Running] = set()
+        self._stop: StopPlan | None = None
         self._refuses = False
 
     async def serve(self, request: web.Request) -> web.StreamResponse | Problem:
@@ -131,6 +133,10 @@
             return problems.build_response(answer, admitted.request_id)
         return answer
 
+    def begin_stop(self, plan: StopPlan) -> None:
+        """Refuse from now on what may outlast the stop."""
+        self._stop = plan
+
     def refuse_unsent(self) -> None:
         """Refuse what no upstream can have run, now and from now on."""
         self._refuses = True
@@ -148,7 +154,7 @@
     ) -> web.StreamResponse | Problem:
         handler = asyncio.current_task()
         running = Running(call, handler)
-        if self._refuses:
+        if self._refuses or not self._admits(call):
             return running.describe_end()
         self._running.add(running)
         try:
@@ -162,6 +168,10 @@
             if running.task is handler:
                 self._running.discard(running)
 
+    def _admits(self, call: Call) -> bool:
+        now = self._clock.boottime()
+        return self._stop is None or self._stop.admits(now, call.deadline)
+
     async def _serve_call(
         self, running: Running, request: web.Request
     ) -> web.StreamResponse | Problem:
--- a/libraries/entry/shallotspindle_entry/stopping.py
+++ b/libraries/entry/shallotspindle_entry/stopping.py
@@ -1,4 +1,4 @@
-"""Times of a planned stop."""
+"""Times of a planned stop, and which requests are still served in it."""
 
 from dataclasses import dataclass
 
@@ -28,3 +28,11 @@
     def ends_at(self) -> float:
         """When what still runs is answered."""
         return self.closes_at + self.limit_seconds
+
+    def admits(self, now: float, deadline: float) -> bool:
+        """Return whether a request that arrives now is served.
+
+        After the balancer had its time, only those are whose own deadline passes
+        before the stop ends: any other could be broken off at an upstream that hangs.
+        """
+        return now < self.closes_at or deadline <= self.ends_at
--- a/libraries/entry/shallotspindle_entry/stopping_test.py
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -3,6 +3,8 @@
 
 from shallotspindle_entry.conftest import KEY
 from shallotspindle_entry.edge_test import LONG_SECONDS, OK, post, read_problem
+from shallotspindle_entry.lifecycle import Stage
+from shallotspindle_entry.stopping import StopPlan
 
 # Time for requests in work at the planned stops of these tests.
 LIMIT_SECONDS = 0.4
@@ -62,6 +64,15 @@
             await asyncio.sleep(0.01)
 
 
+async def await_closed(edge):
+    await await_true(lambda: edge.lifecycle.stage is Stage.CLOSED)
+
+
+async def await_half_a_request(edge):
+    """Wait until the start of a request has arrived on the only connection."""
+    await await_true(lambda: not edge.frontend.is_idle)
+
+
 async def read_at_stop(edge, request, is_due=None):
     """Send a request, stop while it is in work, and return its answer.
 
@@ -85,6 +96,19 @@
     )
 
 
+class TestStopPlan:
+    def test_until_the_balancer_knows_every_request_is_served(self):
+        # Guards against refusals while the balancer still sends requests.
+        plan = StopPlan(closes_at=105.0, limit_seconds=60.0)
+        assert plan.admits(104.9, 1000.0)
+
+    def test_afterwards_a_request_has_to_end_within_the_limit(self):
+        # Guards against work that the end of the process breaks off.
+        plan = StopPlan(closes_at=105.0, limit_seconds=60.0)
+        assert plan.admits(105.0, 165.0)
+        assert not plan.admits(105.0, 165.1)
+
+
 class TestPlannedStop:
     async def test_request_in_work_is_answered(self, edge):
         # Guards against a planned stop that cuts a request.
@@ -163,3 +187,37 @@
             await caller.reader.readuntil(b"part")
             await edge.frontend.drain(0, LIMIT_SECONDS)
             assert not (await caller.read()).endswith(b"0\r\n\r\n")
+
+    async def test_kept_connection_brings_no_work_that_is_broken_off(self, edge):
+        # Guards against a request sent to an upstream while the process ends.
+        edge.upstream.scripts = [edge.upstream.answer(OK, OK)]
+        async with connect(edge) as caller:
+            caller.write(GET_REQUEST)
+            await caller.reader.readuntil(b"whole")
+            await edge.frontend.drain(0, LIMIT_SECONDS)
+            assert await caller.read() == b""
+
+    async def test_late_request_that_may_outlast_the_stop_runs_nowhere(self, edge):
+        # Guards against work that a planned stop breaks off at its upstream.
+        edge.upstream.scripts = [hang(edge)]
+        async with connect(edge) as caller:
+            caller.write(GET_REQUEST[:-2])
+            await await_half_a_request(edge)
+            stopping = asyncio.create_task(edge.frontend.drain(0, LIMIT_SECONDS))
+            await await_closed(edge)
+            caller.write(GET_REQUEST[-2:])
+            check_refusal(await caller.read())
+            await stopping
+        assert edge.upstream.received == []
+
+    async def test_late_request_with_a_short_deadline_is_served(self, edge):
+        # Guards against refusals of what a planned stop has time for.
+        edge.upstream.scripts = [edge.upstream.answer(OK)]
+        async with connect(edge) as caller:
+            caller.write(GET_LINES + b"\r\nRequest-Timeout: 5\r\n")
+            await await_half_a_request(edge)
+            stopping = asyncio.create_task(edge.frontend.drain(0, GUARD_SECONDS))
+            await await_closed(edge)
+            caller.write(b"\r\n")
+            assert (await caller.read()).endswith(b"whole")
+            await stopping
