Wait at a planned stop of the entry daemon until answers have left

What callers see: over a slow link an answer is cut when the process ends, and the answers that the stop itself gives at the limit may be. Cause: the stop counted a request as ended when its handler returned, with up to 64 KB of its answer in the socket's buffer, and went on in the same step in which it told the last handlers to answer. Evidence: with a body of 60 KB and socket buffers of 4 KB the stop ended while the caller had read nothing.

--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -76,7 +76,7 @@
         self._server.close()
 
     async def drain(self, wait_seconds: float, limit_seconds: float) -> None:
-        """Serve callers until the planned stop may go on.
+        """Serve callers until every answer has left, then let the stop go on.
 
         :param wait_seconds: time until the balancer knows of the stop.
         :param limit_seconds: time from then until what still runs is answered.
@@ -92,10 +92,12 @@
         if not await self._close_connections(plan.ends_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
             self._pipeline.end()
+        if not await self._close_connections(plan.exits_at):
+            logging.warning("answers are still on their way to callers")
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request arrives or runs."""
+        """Whether no request arrives or runs and every answer has left."""
         idle = all(connection.is_idle for connection in self._list_open())
         return idle and not self._lifecycle.running
 
@@ -106,7 +108,7 @@
         """Close each connection when it is idle.
 
         :param until: when to give up, in seconds.
-        :returns: whether no request arrived or ran any more before that.
+        :returns: whether all were idle before that.
         """
         self._close_idle()
         while not self.is_idle:
--- a/libraries/entry/shallotspindle_entry/stopping.py
+++ b/libraries/entry/shallotspindle_entry/stopping.py
@@ -5,6 +5,8 @@
 # Part of the limit after which nothing is sent to upstreams any more: it could be
 # broken off there at the limit.
 SENDING_PART = 0.8
+# The last answers leave the sockets; the unread rest of a body is taken off for 2 s.
+DELIVERY_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,11 @@
         """When what still runs is answered."""
         return self.closes_at + self.limit_seconds
 
+    @property
+    def exits_at(self) -> float:
+        """When the stop goes on although answers are still on their way."""
+        return self.ends_at + DELIVERY_SECONDS
+
     def admits(self, now: float, deadline: float) -> bool:
         """Return whether a request that arrives now is served.
 
--- a/libraries/entry/shallotspindle_entry/stopping_test.py
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 from shallotspindle_entry.conftest import KEY
@@ -10,6 +11,9 @@
 LIMIT_SECONDS = 0.4
 # Ends a run that hangs.
 GUARD_SECONDS = 10
+SMALL_BUFFER_BYTES = 4096
+# Below the size at which a handler waits for the caller, above those of the sockets.
+HELD_BYTES = 60 * 1024
 SHED = b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 GET_LINES = (
     f"GET /records/1 HTTP/1.1\r\nHost: shop.test\r\nAuthorization: Bearer {KEY}"
@@ -34,9 +38,13 @@
 
 
 @asynccontextmanager
-async def connect(edge):
+async def connect(edge, receive_bytes=65536):
     """Yield a caller; its connection ends with the block."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", edge.port)
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    made.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(made, ("127.0.0.1", edge.port))
+    reader, writer = await asyncio.open_connection(sock=made, limit=receive_bytes)
     try:
         yield RawCaller(reader, writer)
     finally:
@@ -221,3 +229,32 @@
             caller.write(b"\r\n")
             assert (await caller.read()).endswith(b"whole")
             await stopping
+
+    async def test_last_answers_leave_before_the_stop_goes_on(self, edge):
+        # Guards against an answer at the limit that the end of the process cuts.
+        edge.upstream.scripts = [hang(edge)]
+        async with connect(edge) as caller:
+            caller.write(GET_REQUEST)
+            await await_true(lambda: edge.upstream.received)
+            await edge.frontend.drain(0, LIMIT_SECONDS)
+            assert edge.frontend.is_idle
+            assert (await caller.read()).startswith(b"HTTP/1.1 504 ")
+
+    async def test_answer_on_a_slow_link_is_delivered(self, edge):
+        # Guards against an answer that is cut while a slow link carries it.
+        edge.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+        )
+        body = b"x" * HELD_BYTES
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        edge.upstream.scripts = [edge.upstream.answer(head + body)]
+        async with connect(edge, SMALL_BUFFER_BYTES) as caller:
+            caller.write(GET_REQUEST)
+            await edge.upstream.ended.wait()
+            await await_true(lambda: not edge.lifecycle.running)
+            stopping = asyncio.create_task(edge.frontend.drain(0, GUARD_SECONDS))
+            await await_closed(edge)
+            await asyncio.sleep(0.2)
+            assert not stopping.done()
+            assert (await caller.read()).endswith(body)
+            await stopping
