Keep the failure domains of a service with the directory's version

Cause: Directory.list_domains counted the upstreams of a service at each request, up to twice, although they change with the version only, as list_usable knows. Change: the counts are kept and forgotten together with the lists of usable upstreams. Test: the test of kept answers now asks for the domains after each change, too.

--- a/libraries/registry/shallotspindle_registry/directory.py
+++ b/libraries/registry/shallotspindle_registry/directory.py
@@ -4,6 +4,7 @@
 for ``GRACE_SECONDS`` after the store is back, and is dropped if it is still missing.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -40,6 +41,7 @@
         # Answers of this version, since each request asks for them.
         self._answered = 0
         self._usable: dict[tuple[ServiceName, FailureDomain | None], Usable] = {}
+        self._domains: dict[ServiceName, Mapping[FailureDomain, int]] = {}
 
     def note_outage_end(self, now: float) -> None:
         """Report that the store answers again after it was away."""
@@ -99,14 +101,18 @@
 
         :param domain: restricts the result to one failure domain.
         """
-        if self._answered != self.version:
-            self._usable.clear()
-            self._answered = self.version
+        self._forget_outdated()
         asked = (service, domain)
         if asked not in self._usable:
             self._usable[asked] = self._select(service, domain)
         return self._usable[asked]
 
+    def _forget_outdated(self) -> None:
+        if self._answered != self.version:
+            self._usable.clear()
+            self._domains.clear()
+            self._answered = self.version
+
     def _select(self, service: ServiceName, domain: FailureDomain | None) -> Usable:
         return {
             name: known
@@ -118,8 +124,10 @@
 
     def list_domains(self, service: ServiceName) -> Mapping[FailureDomain, int]:
         """Return the number of usable upstreams of a service by failure domain."""
-        counts: dict[FailureDomain, int] = {}
-        for known in self.list_usable(service).values():
-            domain = known.announcement.domain
-            counts[domain] = counts.get(domain, 0) + 1
-        return counts
+        self._forget_outdated()
+        if service not in self._domains:
+            usable = self.list_usable(service).values()
+            self._domains[service] = Counter(
+                known.announcement.domain for known in usable
+            )
+        return self._domains[service]
--- a/libraries/registry/shallotspindle_registry/directory_test.py
+++ b/libraries/registry/shallotspindle_registry/directory_test.py
@@ -29,10 +29,13 @@
     def test_a_list_that_was_asked_for_follows_every_change(self, directory):
         # Guards against an answer that is kept beyond the version it belongs to.
         assert len(directory.list_usable(SERVICE)) == 2
+        assert directory.list_domains(SERVICE) == {"a": 1, "b": 1}
         directory.announce(replace(FIRST, state=State.DRAINING), 1.0)
+        assert directory.list_domains(SERVICE) == {"b": 1}
         assert set(directory.list_usable(SERVICE)) == {"u2"}
         directory.remove(SECOND.name, 2.0)
         assert not directory.list_usable(SERVICE)
+        assert not directory.list_domains(SERVICE)
 
     def test_an_address_that_another_service_took_over_is_not_used(self, directory):
         # Guards against a request that reaches the new owner of an old address.
