--- a/demo/demo.py
+++ b/demo/demo.py
@@ -59,14 +59,6 @@
             self.report.outcomes[str(answer.status)] += 1
             return answer.status, await answer.text()
 
-    async def count_runs(self, marker: str) -> int:
-        """Return how often upstreams ran the requests with a marker."""
-        runs = 0
-        for address in self.fleet.upstreams.values():
-            answer = await self.fleet.call("GET", f"{address.split(':')[1]}/_runs")
-            runs += answer["runs"].get(marker, 0)
-        return runs
-
     async def show_examples(self) -> None:
         """The bundles and settings of both example deployments are valid."""
         for bundle in sorted(EXAMPLES.glob("*/bundle.json")):
@@ -112,7 +104,7 @@
             )
         )
         statuses = sorted(status for status, _ in answers)
-        runs = await self.count_runs("deposit-1")
+        runs = await self.fleet.count_runs("deposit-1")
         text = f"one deposit at two instances: answers {statuses}, runs {runs}"
         self.report.check(text, runs == 1 and 200 in statuses)
 
--- a/libraries/entry/shallotspindle_entry/daemon_test.py
+++ b/libraries/entry/shallotspindle_entry/daemon_test.py
@@ -67,14 +67,6 @@
             await asyncio.sleep(0.05)
         return tries
 
-    async def count_runs(self, marker: str) -> int:
-        """Return how often upstreams ran the requests with a marker."""
-        runs = 0
-        for address in self.fleet.upstreams.values():
-            answer = await self.fleet.call("GET", f"{address.split(':')[1]}/_runs")
-            runs += answer["runs"].get(marker, 0)
-        return runs
-
     async def get_state(self, entry: processes.Entry) -> dict:
         return await self.fleet.call("GET", f"{entry.administration}/state")
 
@@ -175,7 +167,7 @@
                 )
             )
             assert 200 in [status for status, _ in answers]
-            assert await callers.count_runs(name) == 1
+            assert await callers.fleet.count_runs(name) == 1
 
     async def test_deposits_run_once_while_the_store_is_away(self, callers):
         await callers.fleet.set_store_faults(down=True)
@@ -190,7 +182,7 @@
                     entries[(number + 1) % INSTANCES], "/deposits/1", deposit=name
                 )
                 assert first == (200, second[1])
-                assert await callers.count_runs(name) == 1
+                assert await callers.fleet.count_runs(name) == 1
         finally:
             await callers.fleet.set_store_faults(down=False)
 
@@ -212,7 +204,7 @@
         async with asyncio.timeout(GUARD_SECONDS):
             for name in names:
                 await callers.deposit_until_run(first, name)
-                assert await callers.count_runs(name) == 1
+                assert await callers.fleet.count_runs(name) == 1
 
 
 class TestPlannedStop:
@@ -265,7 +257,7 @@
             status, problem = await callers.send(first, "/deposits/1", deposit=name)
             assert status != 200
             assert problem["outcome"] in ("unknown", "completed")
-            assert await callers.count_runs(name) == 1
+            assert await callers.fleet.count_runs(name) == 1
 
     async def test_partitions_of_the_killed_instance_are_taken_over(self, callers):
         # Depends on the kill above; the platform's list proves the end.
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -256,6 +256,14 @@
     async def set_store_faults(self, **faults: object) -> None:
         await self.call("POST", f"{self.ports['store']}/faults", faults)
 
+    async def count_runs(self, marker: str) -> int:
+        """Return how often upstreams ran the requests with a marker."""
+        runs = 0
+        for address in self.upstreams.values():
+            answer = await self.call("GET", f"{address.split(':')[1]}/_runs")
+            runs += answer["runs"].get(marker, 0)
+        return runs
+
     @staticmethod
     async def call(method: str, place: str, body: object = None) -> object:
         """Call a control path; the place is a port and a path."""
