Remove the second BundleLimits of the entry daemon

The limits of a bundle stood in admission and again in coordination, word for word; coordination now uses those of admission. No behaviour changes.

--- a/libraries/entry/shallotspindle_entry/admission.py
+++ b/libraries/entry/shallotspindle_entry/admission.py
@@ -111,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BundleLimits:
-    """Limits of the teams of a bundle."""
+    """Limits of the teams of a bundle; implements ``Limits``."""
 
     bundle: Bundle
 
--- a/libraries/entry/shallotspindle_entry/coordination.py
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -3,22 +3,19 @@
 import random
 import secrets
 import socket
-from dataclasses import dataclass
 
 import aiohttp
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
 from shallotspindle_bundles import differences
-from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import (
     FailureDomain,
     Incarnation,
     Instance,
-    TeamName,
 )
 from shallotspindle_entry import admission, bundle_messages, claims
-from shallotspindle_entry.admission import AdmissionTask
+from shallotspindle_entry.admission import AdmissionTask, BundleLimits
 from shallotspindle_entry.balancing import BalancingTask, ServicesChanged
 from shallotspindle_entry.bundle_loading import Configuration
 from shallotspindle_entry.bundle_messages import PeerDigest
@@ -31,7 +28,6 @@
 from shallotspindle_health import messages as health_messages
 from shallotspindle_idempotency import messages as claim_messages
 from shallotspindle_limits import records as limit_records
-from shallotspindle_limits.records import Limit
 from shallotspindle_membership.heartbeats import Progress
 from shallotspindle_ownership import messages as ownership_messages
 from shallotspindle_settings.daemon import EntrySettings
@@ -66,17 +62,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class BundleLimits:
-    """Limits of one bundle; implements ``Limits``."""
-
-    bundle: Bundle
-
-    def find_limit(self, team: TeamName) -> Limit | None:
-        found = self.bundle.teams.get(team)
-        return None if found is None else Limit(found.rate, found.burst)
-
-
 def create_instance(settings: EntrySettings, listener: socket.socket) -> Instance:
     """Return the instance that this process is."""
     host, port = listener.getsockname()[:2]
