--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 from absl import logging
@@ -19,6 +18,13 @@
 from shallotspindle_entry import review, transfers
 from shallotspindle_entry.interfaces import PartitionGained, PartitionLost, PeerLink
 from shallotspindle_entry.ownership_access import Released
+from shallotspindle_entry.ownership_inbox import (
+    PeerMessage,
+    Release,
+    Renewed,
+    TableSeen,
+    Writing,
+)
 from shallotspindle_entry.sessions import SessionWriter
 from shallotspindle_entry.table_sharing import TableSharing
 from shallotspindle_entry.tasks import Task
@@ -61,47 +67,6 @@
         """Tell of a partition that is handed over and return its state."""
 
 
-@dataclass(frozen=True, slots=True)
-class Renewed:
-    """A renewal took effect."""
-
-    counter: int
-    sent: float
-
-
-@dataclass(frozen=True, slots=True)
-class TableSeen:
-    """The table was read or written."""
-
-    table: Table
-
-
-@dataclass(frozen=True, slots=True)
-class Writing:
-    """Entries are about to be written."""
-
-    changes: Mapping[int, Entry]
-
-
-@dataclass(frozen=True, slots=True)
-class Release:
-    """Stop acting for partitions; the reply is ``Released``.
-
-    :param alone: whether they are handed over without the store.
-    """
-
-    partitions: tuple[int, ...]
-    alone: bool
-
-
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
-    """A message of another instance."""
-
-    sender: Instance
-    message: Offer | HandOver | Moved | TableTold
-
-
 class OwnershipTask(Task):
     """Holds the rights of this instance; implements ``Rights``.
 
--- a/libraries/entry/shallotspindle_entry/ownership_test.py
+++ b/libraries/entry/shallotspindle_entry/ownership_test.py
@@ -11,7 +11,8 @@
 from shallotspindle_core.identifiers import Instance
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry.interfaces import PeerUnreachable
-from shallotspindle_entry.ownership import OwnershipTask, PeerMessage
+from shallotspindle_entry.ownership import OwnershipTask
+from shallotspindle_entry.ownership_inbox import PeerMessage
 from shallotspindle_environment.interface import (
     Conflict,
     Entry,
