--- a/libraries/bench/shallotspindle_bench/policies_world.py
+++ b/libraries/bench/shallotspindle_bench/policies_world.py
@@ -100,7 +100,7 @@
         return self.clock.boottime()
 
     def call_at(self, time: float, action: Callable[[], None]) -> None:
-        """Run an action at a time."""
+        """Plan an action; those of the same time run in the order of their planning."""
         heapq.heappush(self._events, (time, next(self._numbers), action))
 
     def call_later(self, seconds: float, action: Callable[[], None]) -> None:
--- a/libraries/bundles/shallotspindle_bundles/teams.py
+++ b/libraries/bundles/shallotspindle_bundles/teams.py
@@ -64,7 +64,7 @@
 
 
 def unpack(bucket: Bucket, index: int) -> Team:
-    """Return one team of a bucket."""
+    """Build the record of one team from the columns of its bucket."""
     start = bucket.ends[index - 1] if index else 0
     digests = (
         bucket.digests[n * DIGEST_BYTES : (n + 1) * DIGEST_BYTES]
--- a/libraries/membership/shallotspindle_membership/views.py
+++ b/libraries/membership/shallotspindle_membership/views.py
@@ -111,7 +111,7 @@
         self._failed[peer.incarnation] = now
 
     def find_peer(self, incarnation: str) -> Instance | None:
-        """Return a known peer."""
+        """Return a peer that is listed or was heard, usable or not."""
         found = self._listed.get(Incarnation(incarnation))
         if found is None and incarnation in self._heard:
             return self._heard[Incarnation(incarnation)][0]
--- a/libraries/operations/shallotspindle_operations/audit_commands.py
+++ b/libraries/operations/shallotspindle_operations/audit_commands.py
@@ -13,7 +13,7 @@
 
 
 def render(record: Record) -> list[str]:
-    """Return the lines of a record."""
+    """Return a title with the change, then an indented line for each detail."""
     change = record.change
     title = f"{record.sequence} {change.time} {change.person}: {change.action}"
     return [
--- a/libraries/operations/shallotspindle_operations/fleet_commands.py
+++ b/libraries/operations/shallotspindle_operations/fleet_commands.py
@@ -167,7 +167,7 @@
 
 
 def add_commands(app: App) -> None:
-    """Add the commands of this module."""
+    """Add the commands that stand at the top level, without a group."""
     app.command(show_status, name="status")
     app.command(show_upstreams, name="upstreams")
     app.command(drain)
--- a/libraries/operations/shallotspindle_operations/instances.py
+++ b/libraries/operations/shallotspindle_operations/instances.py
@@ -88,7 +88,7 @@
 def validate(
     model: type[BaseModel], address: str, answer: Result[Any, Failure]
 ) -> Result[Any, Failure]:
-    """Validate the answer of an instance."""
+    """Turn the JSON of an instance into a model; a failed call passes through."""
     if answer.is_error():
         return answer
     try:
--- a/libraries/operations/shallotspindle_operations/options.py
+++ b/libraries/operations/shallotspindle_operations/options.py
@@ -60,7 +60,7 @@
 
 
 def run_with_store(url: str, action: Callable[[Store], Awaitable[Outcome]]) -> Outcome:
-    """Run an action with a connection to the store."""
+    """Run an action to its end; the connection to the store lasts as long."""
 
     async def run() -> Outcome:
         async with aiohttp.ClientSession() as session:
--- a/libraries/operations/shallotspindle_operations/rendering.py
+++ b/libraries/operations/shallotspindle_operations/rendering.py
@@ -48,7 +48,7 @@
 
 
 def render_change(change: Change) -> Iterator[str]:
-    """Return the lines of a change."""
+    """Yield lines that begin with ``+`` (added), ``-`` (removed) or ``~``."""
     match change:
         case differences.SaltChange():
             yield "~ salt: all keys need new digests"
--- a/libraries/ownership/shallotspindle_ownership/sessions.py
+++ b/libraries/ownership/shallotspindle_ownership/sessions.py
@@ -28,7 +28,11 @@
 
 
 class Phase(IntEnum):
-    """What the holder of a session may do."""
+    """What the holder of a session may do.
+
+    ``QUIET``: act, and hand over through the store only. ``ALONE``: the store counts as
+    away; act, and hand over by consent without it. ``LAPSED``: no longer act.
+    """
 
     QUIET = 1
     ALONE = 2
@@ -54,7 +58,10 @@
 
 
 def find_phase(session: Session, now: float) -> Phase:
-    """Return the phase at a moment."""
+    """Return what a holder may do now, by its last renewal.
+
+    :param now: boot-time in seconds.
+    """
     if session.counter == 0 or now >= session.sent + HORIZON_SECONDS:
         return Phase.LAPSED
     if now < session.acked + QUIET_SECONDS:
--- a/libraries/routing/shallotspindle_routing/fairqueue.py
+++ b/libraries/routing/shallotspindle_routing/fairqueue.py
@@ -51,7 +51,7 @@
         self._mean = sum(positive) / len(positive) if positive else 1.0
 
     def find(self, team: str) -> float:
-        """Return the weight of a team."""
+        """Return the weight of a team; the mean of all teams is 1."""
         part = self._parts.get(team)
         return 1.0 if part is None else max(LEAST_WEIGHT, part / self._mean)
 
--- a/libraries/settings/shallotspindle_settings/audit.py
+++ b/libraries/settings/shallotspindle_settings/audit.py
@@ -52,7 +52,7 @@
 
 
 def describe_record(record: Record) -> RecordModel:
-    """Return the model of a record."""
+    """Convert a record to the form in which the store keeps it."""
     change = record.change
     return RecordModel(
         sequence=record.sequence,
--- a/libraries/settings/shallotspindle_settings/chunks.py
+++ b/libraries/settings/shallotspindle_settings/chunks.py
@@ -100,7 +100,7 @@
 
 
 def encode_index(index: Index) -> bytes:
-    """Return the bytes of an index."""
+    """Encode the names of all chunks, by section and bucket."""
     fields: dict[str, list[str]] = {section: [] for section in Section}
     for place in buckets.PLACES:
         fields[place.section].append(index[place])
@@ -200,7 +200,7 @@
         return parts.check_all(self.build())
 
     def build(self) -> Bundle:
-        """Return the bundle."""
+        """Put the bundle together from the chunks that were added."""
         return Bundle(
             version=self._version,
             salt=self._header.salt,
--- a/libraries/settings/shallotspindle_settings/failures.py
+++ b/libraries/settings/shallotspindle_settings/failures.py
@@ -113,7 +113,7 @@
 def convert(
     path: str, text: str, error: ValidationError
 ) -> tuple[SettingsFailure, ...]:
-    """Convert the errors of a validation."""
+    """Convert the errors of a model, each with its line in the file."""
     items = error.errors(include_url=False)
     if any(item["type"] == "json_invalid" for item in items):
         line = find_syntax_line(text)
--- a/libraries/wire/shallotspindle_wire/streams.py
+++ b/libraries/wire/shallotspindle_wire/streams.py
@@ -95,7 +95,7 @@
                 return opened
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection after what was written has left."""
         self._writer.close()
 
 
--- a/tools/usage.py
+++ b/tools/usage.py
@@ -37,7 +37,7 @@
 
 
 def read_machine() -> Machine:
-    """Return the totals of the machine."""
+    """Read the times of all processors since the machine started."""
     line = Path("/proc/stat").read_text().partition("\n")[0]
     user, nice, system, idle, wait, irq, softirq, stolen, *_ = map(
         int, line.split()[1:]
