Test that a planned stop gives back the key of what did not run

A key that stays claimed by a stopped instance would answer every repeat with an unknown outcome; the test of a shed request now claims the key again. It fails when the pipeline reports the end instead of giving the key back.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -95,6 +95,7 @@
     frontend: Frontend
     listener: socket.socket
     admission: local_test.UnlimitedAdmission
+    claims: local_test.LocalClaims
     balancer: local_test.LocalBalancer
 
     async def send(self, data: bytes) -> bytes:
@@ -156,6 +157,7 @@
         frontend,
         listener,
         admission,
+        claims,
         balancer,
     )
     await frontend.stop()
--- a/libraries/entry/shallotspindle_entry/pipeline.py
+++ b/libraries/entry/shallotspindle_entry/pipeline.py
@@ -185,7 +185,7 @@
             refused = await self._claim(call)
             if refused is not None:
                 return refused
-        running.progress.granted = True
+            running.progress.granted = True
         # Work with an effect goes on when the caller leaves: a cut in the middle would
         # leave its outcome unknown, and a repeat with the key finds the answer.
         work = asyncio.create_task(self._run_with_effect(running, request))
--- a/libraries/entry/shallotspindle_entry/stopping_test.py
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -4,6 +4,7 @@
 
 from shallotspindle_entry.conftest import KEY
 from shallotspindle_entry.edge_test import LONG_SECONDS, OK, post, read_problem
+from shallotspindle_entry.interfaces import ClaimState
 from shallotspindle_entry.lifecycle import Stage
 from shallotspindle_entry.stopping import StopPlan
 
@@ -169,6 +170,9 @@
         answer = await read_at_stop(edge, request, edge.upstream.ended.is_set)
         check_refusal(answer)
         assert read_problem(answer)["attempt"] == "forwarded"
+        # The key is free again, also for another request.
+        claimed = await edge.claims.claim("museum", "k1", b"another digest", 0.0)
+        assert claimed.state is ClaimState.GRANTED
 
     async def test_key_of_a_refused_request_is_not_looked_up(self, edge, monkeypatch):
         # Guards against "not-run" for a repeat whose first request did run.
