Make the connections of callers by one function

The options of a caller's connection stood in the front ends of both daemons, and the close of a connection without a first request in the front end as well as, for header lines, in CallerConnection. callers.accept takes ConnectionLimits and makes the connection; the entry daemon uses it, and CallerConnection owns both timers. No behaviour changes. Test: a connection without a byte still gets 408.

--- a/libraries/entry/shallotspindle_entry/callers.py
+++ b/libraries/entry/shallotspindle_entry/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -15,6 +16,28 @@
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 BuildProblem = Callable[[bool], web.StreamResponse]
+# Time for which the unread rest of a refused body is taken off the socket.
+LINGERING_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a connection of a caller may take.
+
+    :param header_seconds: longest time from the first byte of a request to the end of
+        its header lines.
+    :param header_bytes: longest header line.
+    :param idle_seconds: time after an answer until an idle connection is closed.
+    :param unread_bytes: part of a body that is read ahead of its handler.
+    :param first_seconds: longest time from the connection to the end of the header
+        lines of its first request; None for no limit.
+    """
+
+    header_seconds: float
+    header_bytes: int
+    idle_seconds: float
+    unread_bytes: int = 256 * 1024
+    first_seconds: float | None = None
 
 
 class CallerConnection(web_protocol.RequestHandler):
@@ -22,6 +45,8 @@
 
     :param header_seconds: longest time from the first byte of a request to the end of
         its header lines, in seconds.
+    :param first_seconds: the same for the first request, counted from the connection;
+        None for no limit.
     :param build_problem: returns the answer to a request that no handler served; it
         gets whether the request was malformed.
     """
@@ -31,6 +56,7 @@
         server: web.Server,
         *,
         header_seconds: float,
+        first_seconds: float | None = None,
         build_problem: BuildProblem,
         **options: Any,
     ) -> None:
@@ -38,6 +64,9 @@
         self._header_seconds = header_seconds
         self._build_problem = build_problem
         self._header_timer: asyncio.TimerHandle | None = None
+        self._first_timer: asyncio.TimerHandle | None = None
+        if first_seconds is not None:
+            self._first_timer = self._start_timer(first_seconds)
 
     @property
     def is_idle(self) -> bool:
@@ -52,24 +81,26 @@
         awaits_request = self._waiter is not None and not self._messages
         super().data_received(data)
         if self._messages:
-            self._stop_header_timer()
+            self._stop_timers()
         elif awaits_request and data and self._header_timer is None:
-            self._header_timer = asyncio.get_running_loop().call_later(
-                self._header_seconds, self._close_slow
-            )
+            self._header_timer = self._start_timer(self._header_seconds)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Forget the timer of a connection that ended."""
-        self._stop_header_timer()
+        """Forget the timers of a connection that ended."""
+        self._stop_timers()
         super().connection_lost(exc)
 
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
+    def _start_timer(self, seconds: float) -> asyncio.TimerHandle:
+        return asyncio.get_running_loop().call_later(seconds, self._close_slow)
+
+    def _stop_timers(self) -> None:
+        for timer in (self._header_timer, self._first_timer):
+            if timer is not None:
+                timer.cancel()
+        self._header_timer = self._first_timer = None
 
     def _close_slow(self) -> None:
-        self._header_timer = None
+        self._stop_timers()
         if self.transport is not None:
             logging.info("a caller did not send its header lines in time")
             self.transport.write(SLOW_ANSWER)
@@ -94,3 +125,23 @@
         response = self._build_problem(is_malformed)
         response.force_close()
         return response
+
+
+def accept(
+    server: web.Server, limits: ConnectionLimits, build_problem: BuildProblem
+) -> CallerConnection:
+    """Return the protocol of a new connection on the running loop."""
+    return CallerConnection(
+        server,
+        header_seconds=limits.header_seconds,
+        first_seconds=limits.first_seconds,
+        build_problem=build_problem,
+        loop=asyncio.get_running_loop(),
+        access_log=None,
+        keepalive_timeout=limits.idle_seconds,
+        lingering_time=LINGERING_SECONDS,
+        max_line_size=limits.header_bytes,
+        max_field_size=limits.header_bytes,
+        read_bufsize=limits.unread_bytes,
+        auto_decompress=False,
+    )
--- a/libraries/entry/shallotspindle_entry/edge_test.py
+++ b/libraries/entry/shallotspindle_entry/edge_test.py
@@ -253,6 +253,10 @@
         assert answer.startswith(b"HTTP/1.1 408")
         assert edge.upstream.received == []
 
+    async def test_connection_without_a_request_is_closed(self, edge, monkeypatch):
+        monkeypatch.setattr(frontend, "FIRST_REQUEST_SECONDS", 0.05)
+        assert (await edge.send(b"")).startswith(b"HTTP/1.1 408")
+
     async def test_half_a_short_body_is_refused_and_not_forwarded(
         self, edge, monkeypatch
     ):
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -11,8 +11,8 @@
 from aiomisc import Service
 
 from shallotspindle_core.clock import Clock
-from shallotspindle_entry import problems
-from shallotspindle_entry.callers import SLOW_ANSWER, CallerConnection
+from shallotspindle_entry import callers, problems
+from shallotspindle_entry.callers import CallerConnection, ConnectionLimits
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import CALL, PROBLEM, Pipeline
 from shallotspindle_entry.stopping import StopPlan
@@ -20,8 +20,6 @@
 
 FIRST_REQUEST_SECONDS = 10.0
 KEEPALIVE_SECONDS = 75.0
-# Time for which the unread rest of a refused body is taken off the socket.
-LINGERING_SECONDS = 2.0
 READ_BUFFER_BYTES = 64 * 1024
 HEADER_LINE_BYTES = 8190
 IDLE_CHECK_SECONDS = 0.02
@@ -59,7 +57,6 @@
         self._tls = tls
         # Connections that the planned stop closed; they end a little later.
         self._closed: set[CallerConnection] = set()
-        self._unserved: dict[asyncio.Protocol, asyncio.TimerHandle] = {}
 
     async def start(self) -> None:
         application = web.Application(client_max_size=0)
@@ -129,41 +126,18 @@
         self._server.close()
         await self._runner.cleanup()
 
-    def _accept(self) -> asyncio.Protocol:
-        loop = asyncio.get_running_loop()
-        protocol = CallerConnection(
-            self._runner.server,
+    def _accept(self) -> CallerConnection:
+        limits = ConnectionLimits(
             header_seconds=FIRST_REQUEST_SECONDS,
-            build_problem=build_problem,
-            loop=loop,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            lingering_time=LINGERING_SECONDS,
-            max_line_size=HEADER_LINE_BYTES,
-            max_field_size=HEADER_LINE_BYTES,
-            read_bufsize=READ_BUFFER_BYTES,
-            auto_decompress=False,
-        )
-        self._unserved[protocol] = loop.call_later(
-            FIRST_REQUEST_SECONDS, self._close_slow, protocol
+            header_bytes=HEADER_LINE_BYTES,
+            idle_seconds=KEEPALIVE_SECONDS,
+            unread_bytes=READ_BUFFER_BYTES,
+            first_seconds=FIRST_REQUEST_SECONDS,
         )
-        return protocol
-
-    def _close_slow(self, protocol: asyncio.Protocol) -> None:
-        """Close a connection whose first request did not arrive whole in time."""
-        self._unserved.pop(protocol, None)
-        if protocol.transport is not None:
-            protocol.transport.write(SLOW_ANSWER)
-            protocol.transport.close()
-
-    def _mark_served(self, protocol: asyncio.Protocol) -> None:
-        timer = self._unserved.pop(protocol, None)
-        if timer is not None:
-            timer.cancel()
+        return callers.accept(self._runner.server, limits, build_problem)
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Answer one request and count it."""
-        self._mark_served(request.protocol)
         self._lifecycle.enter()
         try:
             response = await self._pipeline.serve(request)
