Answer header lines that still arrive when a planned stop ends

What callers see: a caller on a slow link, whose header lines are not whole when the stop limit passes, gets a closed connection. Cause: the end of the stop answered requests only, and a request begins with the end of its header lines; their own limit of 10 s may lie beyond the stop. Test: test_header_lines_that_still_arrive_are_answered failed before (no answer 3 s after the limit).

--- a/libraries/entry/shallotspindle_entry/callers.py
+++ b/libraries/entry/shallotspindle_entry/callers.py
@@ -99,6 +99,11 @@
                 timer.cancel()
         self._header_timer = self._first_timer = None
 
+    def close_unfinished(self) -> None:
+        """Close the connection if the header lines of a request still arrive."""
+        if self._header_timer is not None:
+            self._close_slow()
+
     def _close_slow(self) -> None:
         self._stop_timers()
         if self.transport is not None:
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -85,13 +85,19 @@
         await self.close_listener()
         self._lifecycle.stage = Stage.CLOSED
         if not await self._close_connections(plan.refuses_at):
-            self._pipeline.refuse_unsent()
+            self._refuse_unsent()
         if not await self._close_connections(plan.ends_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
             self._pipeline.end()
         if not await self._close_connections(plan.exits_at):
             logging.warning("answers are still on their way to callers")
 
+    def _refuse_unsent(self) -> None:
+        """Answer whatever no upstream can have run."""
+        self._pipeline.refuse_unsent()
+        for connection in self._list_open():
+            connection.close_unfinished()
+
     @property
     def is_idle(self) -> bool:
         """Whether no request arrives or runs and every answer has left."""
--- a/libraries/entry/shallotspindle_entry/stopping_test.py
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -244,6 +244,15 @@
             assert edge.frontend.is_idle
             assert (await caller.read()).startswith(b"HTTP/1.1 504 ")
 
+    async def test_header_lines_that_still_arrive_are_answered(self, edge):
+        # Guards against a closed connection under a request over a slow link.
+        async with connect(edge) as caller:
+            caller.write(GET_REQUEST[:-2])
+            await await_half_a_request(edge)
+            await edge.frontend.drain(0, LIMIT_SECONDS)
+            assert edge.frontend.is_idle
+            assert (await caller.read()).startswith(b"HTTP/1.1 408 ")
+
     async def test_answer_on_a_slow_link_is_delivered(self, edge):
         # Guards against an answer that is cut while a slow link carries it.
         edge.listener.setsockopt(
