Test the end of a planned stop with real processes and hanging upstreams

Eight deposits hang at their upstreams while an instance stops with a limit of 1 s. The script for fleets takes the limit of a stop and sets the behaviour of the upstreams.

--- a/libraries/entry/shallotspindle_entry/daemon_test.py
+++ b/libraries/entry/shallotspindle_entry/daemon_test.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import signal
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import aiohttp
@@ -22,6 +23,7 @@
 INSTANCES = 4
 TAKE_OVER_GUARD_SECONDS = 150
 PROVABLE_RENEWALS = 6
+HANGING_REQUESTS = 8
 # Half of an even share: all of 120 keys miss such an instance once in 10 million runs.
 MANY_PARTITIONS = sizes.PARTITIONS // INSTANCES // 2
 SIZE = sizes.Size(teams=6, services=(("catalogue", 3), ("deposits", 2)))
@@ -87,28 +89,38 @@
             await asyncio.sleep(0.05)
 
 
-@pytest_asyncio.fixture(loop_scope="module", scope="module")
-async def callers(tmp_path_factory):
-    fleet = processes.Fleet(Path(tmp_path_factory.mktemp("fleet")), SIZE)
+@asynccontextmanager
+async def run_fleet(folder: Path, instances: int, **stop: float):
+    """Yield a fleet that holds all partitions; its processes end with the block."""
+    fleet = processes.Fleet(folder, SIZE)
     try:
         async with asyncio.timeout(GUARD_SECONDS):
             await fleet.start_standins(SIZE.upstreams, 2, 0.002)
             await fleet.publish()
-            await fleet.start_entries(INSTANCES, stop_wait=1.0)
+            await fleet.start_entries(instances, **stop)
             await fleet.await_partitions(sizes.PARTITIONS)
-        async with aiohttp.ClientSession() as session:
-            found = Callers(fleet, session)
-            async with asyncio.timeout(GUARD_SECONDS):
-                for number in range(1, SIZE.teams + 1):
-                    for entry in fleet.entries:
-                        key = f"key-team-{number}"
-                        await found.send_until(entry, 200, "/catalogue/1", key)
-                        await found.await_peers(entry, INSTANCES - 1)
-            yield found
+        yield fleet
     finally:
         await fleet.kill()
 
 
+@pytest_asyncio.fixture(loop_scope="module", scope="module")
+async def callers(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("fleet")
+    async with (
+        run_fleet(folder, INSTANCES, stop_wait=1.0) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        found = Callers(fleet, session)
+        async with asyncio.timeout(GUARD_SECONDS):
+            for number in range(1, SIZE.teams + 1):
+                for entry in fleet.entries:
+                    key = f"key-team-{number}"
+                    await found.send_until(entry, 200, "/catalogue/1", key)
+                    await found.await_peers(entry, INSTANCES - 1)
+        yield found
+
+
 class TestWithdrawal:
     async def test_open_connection_is_refused(self, callers):
         # Guards against a withdrawn key that works on until the connection ends.
@@ -238,6 +250,32 @@
         await asyncio.gather(*tasks)
         assert failed == []
 
+    async def test_hanging_upstreams_neither_hold_up_the_stop_nor_cut_it(
+        self, tmp_path
+    ):
+        # Guards against a process that waits for requests beyond its limit, and against
+        # connections that it closes without an answer.
+        async with (
+            run_fleet(tmp_path, 2, stop_wait=0.1, stop_limit=1.0) as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            callers, entry = Callers(fleet, session), fleet.entries[0]
+            async with asyncio.timeout(GUARD_SECONDS):
+                await callers.send_until(entry, 200, "/catalogue/1")
+                await fleet.set_behaviour(delay=3600)
+                sends = [
+                    asyncio.create_task(
+                        callers.send(entry, "/deposits/1", deposit=f"stop-{number}")
+                    )
+                    for number in range(HANGING_REQUESTS)
+                ]
+                while (await callers.get_state(entry))["running"] < HANGING_REQUESTS:
+                    await asyncio.sleep(0.05)
+                entry.process.terminate()
+                await entry.process.wait()
+                statuses = {status for status, _ in await asyncio.gather(*sends)}
+        assert statuses <= {503, 504}
+
 
 class TestCrash:
     async def test_deposit_of_a_killed_instance_does_not_run_again(self, callers):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -183,8 +183,14 @@
                 return
             await asyncio.sleep(POLL_SECONDS)
 
-    async def start_entry(self, number: int, stop_wait: float = 0.5) -> Entry:
-        """Start a daemon and wait until it is ready."""
+    async def start_entry(
+        self, number: int, stop_wait: float = 0.5, stop_limit: float = 60.0
+    ) -> Entry:
+        """Start a daemon and wait until it is ready.
+
+        :param stop_wait: time at a planned stop until it closes its socket, in seconds.
+        :param stop_limit: time after that until it ends requests, in seconds.
+        """
         settings = {
             "name": f"entry-{number}",
             "failure_domain": sizes.DOMAINS[number % 3],
@@ -194,6 +200,7 @@
             "signers": {SIGNER: self._key.public_key().public_bytes_raw().hex()},
             "fleet_secret": self._secret,
             "stop_wait_seconds": stop_wait,
+            "stop_limit_seconds": stop_limit,
         }
         path = self.folder / f"entry-{number}.json"
         path.write_text(json.dumps(settings))
@@ -211,11 +218,11 @@
         entry.process = await self._spawn(entry.settings)
         await self._await_ready(entry)
 
-    async def start_entries(self, count: int, stop_wait: float = 0.5) -> None:
-        """Start daemons side by side."""
+    async def start_entries(self, count: int, **stop: float) -> None:
+        """Start daemons side by side; see ``start_entry``."""
         first = len(self.entries)
         numbers = range(first, first + count)
-        await asyncio.gather(*(self.start_entry(n, stop_wait) for n in numbers))
+        await asyncio.gather(*(self.start_entry(n, **stop) for n in numbers))
 
     async def _spawn(self, path: Path) -> asyncio.subprocess.Process:
         return await start_module(
@@ -253,6 +260,11 @@
         path = f"{self.ports['list']}/instances/{entry.incarnation}"
         await self.call("DELETE", path)
 
+    async def set_behaviour(self, **fields: object) -> None:
+        """Change how all upstreams behave."""
+        for address in self.upstreams.values():
+            await self.call("POST", f"{address.split(':')[1]}/_behaviour", fields)
+
     async def set_store_faults(self, **faults: object) -> None:
         await self.call("POST", f"{self.ports['store']}/faults", faults)
 
