Remove the waits of the entry daemon that only tests still used

Since the planned stop waits for connections, Lifecycle.wait_idle and Frontend.close_listener had no other caller. The test of a reader that leaves now waits for the state and fails after 10 s; before, it passed over a wait that had run out.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -30,9 +30,18 @@
 
 SALT = b"0123456789abcdef"
 KEY = "museum-key"
+# Ends a run that hangs.
+GUARD_SECONDS = 10
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
+async def await_true(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(GUARD_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 @dataclass
 class ScriptedUpstream:
     """Answers each connection with the next script and keeps what it received."""
--- a/libraries/entry/shallotspindle_entry/edge_test.py
+++ b/libraries/entry/shallotspindle_entry/edge_test.py
@@ -9,11 +9,9 @@
 from cryptography.x509.oid import NameOID
 
 from shallotspindle_entry import bodies, certificates, frontend
-from shallotspindle_entry.conftest import KEY
+from shallotspindle_entry.conftest import KEY, await_true
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
-# Longer than any run; a wait that reaches it is a failure of its own.
-LONG_SECONDS = 600
 HEAD = "Host: shop.test\r\nAuthorization: Bearer museum-key\r\n"
 
 
@@ -242,7 +240,7 @@
         await started.wait()
         writer.close()
         await edge.upstream.ended.wait()
-        await edge.lifecycle.wait_idle(LONG_SECONDS)
+        await await_true(lambda: not edge.lifecycle.running)
 
 
 class TestSlowCallers:
--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -68,10 +68,6 @@
             self._accept, sock=self._listener, ssl=self._tls, backlog=1024
         )
 
-    async def close_listener(self) -> None:
-        """Accept no more connections; those that are open stay."""
-        self._server.close()
-
     async def drain(self, wait_seconds: float, limit_seconds: float) -> None:
         """Serve callers until every answer has left, then let the stop go on.
 
@@ -82,7 +78,7 @@
         self._pipeline.begin_stop(plan)
         self._lifecycle.stage = Stage.STOPPING
         await asyncio.sleep(wait_seconds)
-        await self.close_listener()
+        self._server.close()
         self._lifecycle.stage = Stage.CLOSED
         if not await self._close_connections(plan.refuses_at):
             self._refuse_unsent()
--- a/libraries/entry/shallotspindle_entry/lifecycle.py
+++ b/libraries/entry/shallotspindle_entry/lifecycle.py
@@ -1,6 +1,5 @@
 """The stages of an instance from its start to its planned stop."""
 
-import asyncio
 from enum import StrEnum
 
 
@@ -18,8 +17,6 @@
     def __init__(self) -> None:
         self.stage = Stage.RUNNING
         self._running = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     @property
     def running(self) -> int:
@@ -29,23 +26,7 @@
     def enter(self) -> None:
         """Count a request in."""
         self._running += 1
-        self._idle.clear()
 
     def leave(self) -> None:
         """Count a request out."""
         self._running -= 1
-        if not self._running:
-            self._idle.set()
-
-    async def wait_idle(self, limit: float) -> bool:
-        """Wait until no request is in work.
-
-        :param limit: longest time to wait, in seconds.
-        :returns: whether all requests ended in time.
-        """
-        try:
-            async with asyncio.timeout(limit):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
-        return True
--- a/libraries/entry/shallotspindle_entry/stopping_test.py
+++ b/libraries/entry/shallotspindle_entry/stopping_test.py
@@ -2,16 +2,14 @@
 import socket
 from contextlib import asynccontextmanager
 
-from shallotspindle_entry.conftest import KEY
-from shallotspindle_entry.edge_test import LONG_SECONDS, OK, post, read_problem
+from shallotspindle_entry.conftest import GUARD_SECONDS, KEY, await_true
+from shallotspindle_entry.edge_test import OK, post, read_problem
 from shallotspindle_entry.interfaces import ClaimState
 from shallotspindle_entry.lifecycle import Stage
 from shallotspindle_entry.stopping import StopPlan
 
 # Time for requests in work at the planned stops of these tests.
 LIMIT_SECONDS = 0.4
-# Ends a run that hangs.
-GUARD_SECONDS = 10
 SMALL_BUFFER_BYTES = 4096
 # Below the size at which a handler waits for the caller, above those of the sockets.
 HELD_BYTES = 60 * 1024
@@ -67,12 +65,6 @@
     return run
 
 
-async def await_true(condition):
-    async with asyncio.timeout(GUARD_SECONDS):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 async def await_closed(edge):
     await await_true(lambda: edge.lifecycle.stage is Stage.CLOSED)
 
@@ -133,7 +125,7 @@
         edge.upstream.scripts = [wait]
         sending = asyncio.create_task(edge.get())
         await started.wait()
-        stopping = asyncio.create_task(edge.frontend.drain(0, LONG_SECONDS))
+        stopping = asyncio.create_task(edge.frontend.drain(0, GUARD_SECONDS))
         release.set()
         assert b"whole" in await sending
         await stopping
