--- a/libraries/entry/shallotspindle_entry/frontend.py
+++ b/libraries/entry/shallotspindle_entry/frontend.py
@@ -6,21 +6,23 @@
 import uuid
 from typing import Any
 
+from absl import logging
 from aiohttp import web
 from aiomisc import Service
 
-from shallotspindle_entry import problems
-from shallotspindle_entry.callers import SLOW_ANSWER, CallerConnection
+from shallotspindle_core.clock import Clock
+from shallotspindle_entry import callers, problems
+from shallotspindle_entry.callers import CallerConnection, ConnectionLimits
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_entry.pipeline import CALL, PROBLEM, Pipeline
+from shallotspindle_entry.stopping import StopPlan
 from shallotspindle_telemetry.metrics import RequestMetrics
 
 FIRST_REQUEST_SECONDS = 10.0
 KEEPALIVE_SECONDS = 75.0
-# Time for which the unread rest of a refused body is taken off the socket.
-LINGERING_SECONDS = 2.0
 READ_BUFFER_BYTES = 64 * 1024
 HEADER_LINE_BYTES = 8190
+IDLE_CHECK_SECONDS = 0.02
 
 
 def build_problem(is_malformed: bool) -> web.Response:
@@ -41,6 +43,7 @@
         pipeline: Pipeline,
         lifecycle: Lifecycle,
         metrics: RequestMetrics,
+        clock: Clock,
         listener: socket.socket,
         tls: ssl.SSLContext | None = None,
         **kwargs: Any,
@@ -49,9 +52,11 @@
         self._pipeline = pipeline
         self._lifecycle = lifecycle
         self._metrics = metrics
+        self._clock = clock
         self._listener = listener
         self._tls = tls
-        self._unserved: dict[asyncio.Protocol, asyncio.TimerHandle] = {}
+        # Connections that the planned stop closed; they end a little later.
+        self._closed: set[CallerConnection] = set()
 
     async def start(self) -> None:
         application = web.Application(client_max_size=0)
@@ -63,49 +68,78 @@
             self._accept, sock=self._listener, ssl=self._tls, backlog=1024
         )
 
-    async def close_listener(self) -> None:
-        """Accept no more connections; those that are open stay."""
+    async def drain(self, wait_seconds: float, limit_seconds: float) -> None:
+        """Serve callers until every answer has left, then let the stop go on.
+
+        :param wait_seconds: time until the balancer knows of the stop.
+        :param limit_seconds: time from then until what still runs is answered.
+        """
+        plan = StopPlan(self._clock.boottime() + wait_seconds, limit_seconds)
+        self._pipeline.begin_stop(plan)
+        self._lifecycle.stage = Stage.STOPPING
+        await asyncio.sleep(wait_seconds)
         self._server.close()
+        self._lifecycle.stage = Stage.CLOSED
+        if not await self._close_connections(plan.refuses_at):
+            self._refuse_unsent()
+        if not await self._close_connections(plan.ends_at):
+            logging.warning("%d requests are cut", self._lifecycle.running)
+            self._pipeline.end()
+        if not await self._close_connections(plan.exits_at):
+            logging.warning("answers are still on their way to callers")
+
+    def _refuse_unsent(self) -> None:
+        """Answer whatever no upstream can have run."""
+        self._pipeline.refuse_unsent()
+        for connection in self._list_open():
+            connection.close_unfinished()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request arrives or runs and every answer has left."""
+        idle = all(connection.is_idle for connection in self._list_open())
+        return idle and not self._lifecycle.running
+
+    def _list_open(self) -> set[CallerConnection]:
+        return set(self._runner.server.connections) - self._closed
+
+    async def _close_connections(self, until: float) -> bool:
+        """Close each connection when it is idle.
+
+        :param until: when to give up, in seconds.
+        :returns: whether all were idle before that.
+        """
+        self._close_idle()
+        while not self.is_idle:
+            left = until - self._clock.boottime()
+            if left <= 0:
+                return False
+            await asyncio.sleep(min(left, IDLE_CHECK_SECONDS))
+            self._close_idle()
+        return True
+
+    def _close_idle(self) -> None:
+        for connection in self._list_open():
+            if connection.is_idle:
+                connection.force_close()
+                self._closed.add(connection)
 
     async def stop(self, exception: Exception | None = None) -> None:
         self._server.close()
         await self._runner.cleanup()
 
-    def _accept(self) -> asyncio.Protocol:
-        loop = asyncio.get_running_loop()
-        protocol = CallerConnection(
-            self._runner.server,
+    def _accept(self) -> CallerConnection:
+        limits = ConnectionLimits(
             header_seconds=FIRST_REQUEST_SECONDS,
-            build_problem=build_problem,
-            loop=loop,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            lingering_time=LINGERING_SECONDS,
-            max_line_size=HEADER_LINE_BYTES,
-            max_field_size=HEADER_LINE_BYTES,
-            read_bufsize=READ_BUFFER_BYTES,
-            auto_decompress=False,
-        )
-        self._unserved[protocol] = loop.call_later(
-            FIRST_REQUEST_SECONDS, self._close_slow, protocol
+            header_bytes=HEADER_LINE_BYTES,
+            idle_seconds=KEEPALIVE_SECONDS,
+            unread_bytes=READ_BUFFER_BYTES,
+            first_seconds=FIRST_REQUEST_SECONDS,
         )
-        return protocol
-
-    def _close_slow(self, protocol: asyncio.Protocol) -> None:
-        """Close a connection whose first request did not arrive whole in time."""
-        self._unserved.pop(protocol, None)
-        if protocol.transport is not None:
-            protocol.transport.write(SLOW_ANSWER)
-            protocol.transport.close()
-
-    def _mark_served(self, protocol: asyncio.Protocol) -> None:
-        timer = self._unserved.pop(protocol, None)
-        if timer is not None:
-            timer.cancel()
+        return callers.accept(self._runner.server, limits, build_problem)
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Answer one request and count it."""
-        self._mark_served(request.protocol)
         self._lifecycle.enter()
         try:
             response = await self._pipeline.serve(request)
