--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -9,7 +9,8 @@
 from aiomisc import Service
 
 from shallotspindle_core.clock import Clock
-from shallotspindle_entry.callers import CallerConnection
+from shallotspindle_entry import callers
+from shallotspindle_entry.callers import CallerConnection, ConnectionLimits
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_gateway import headers, refusals
 from shallotspindle_gateway.forwarding import Answer
@@ -21,7 +22,8 @@
 # Callers reuse connections until shortly before the idle limit; a close at the limit
 # itself could cross their next request.
 IDLE_SLACK_SECONDS = 1.0
-LINGERING_SECONDS = 2.0
+# Part of a body that is read ahead; every caller may have one under way.
+UNREAD_BYTES = 64 * 1024
 BACKLOG = 1024
 IDLE_CHECK_SECONDS = 0.02
 
@@ -63,20 +65,15 @@
             self._accept, sock=self._listener, backlog=BACKLOG
         )
 
-    def _accept(self) -> asyncio.Protocol:
+    def _accept(self) -> CallerConnection:
         limits = self._reporter.follower.deployment.caller_limits
-        return CallerConnection(
-            self._web,
+        connection = ConnectionLimits(
             header_seconds=limits.header_seconds,
-            build_problem=build_problem,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=limits.idle_seconds + IDLE_SLACK_SECONDS,
-            lingering_time=LINGERING_SECONDS,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
+            header_bytes=limits.header_bytes,
+            idle_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
+            unread_bytes=UNREAD_BYTES,
         )
+        return callers.accept(self._web, connection, build_problem)
 
     async def close_listener(self) -> None:
         """Accept no more connections; those that are open stay."""
