Answer header lines that still arrive when a planned stop of the gateway ends

What callers see: a caller on a slow link, whose header lines are not whole when the process ends, gets a closed connection. Cause: the stop answers requests, and a request begins with the end of its header lines. Test: test_a_planned_stop_answers_header_lines_that_still_arrive failed before (no answer 5 s after the stop).

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -185,6 +185,7 @@
         self._lifecycle.stage = Stage.CLOSED
         self._frontend.close_idle()
         if not await self._frontend.wait_idle(plan.refuse_unsent_at):
+            self._frontend.close_unfinished()
             self._pipeline.refuse_unsent()
         if not await self._frontend.wait_idle(plan.end_at):
             logging.warning("%d requests are cut", self._lifecycle.running)
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -519,6 +519,17 @@
         await daemon.stop()
         assert (await answering).startswith(b"HTTP/1.1 503 ")
 
+    async def test_a_planned_stop_answers_header_lines_that_still_arrive(self, fleet):
+        # Guards against a closed connection under a request over a slow link.
+        fleet.configure(version=2, limits={"header_seconds": 30.0})
+        daemon = await start(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"1")[:40])
+        await asyncio.sleep(0.1)
+        answering = asyncio.create_task(caller.read())
+        await daemon.stop()
+        assert (await asyncio.wait_for(answering, 5.0)).startswith(b"HTTP/1.1 408 ")
+
     async def test_a_planned_stop_refuses_what_upstreams_shed(self, fleet):
         # Guards against an unknown outcome (504) where no upstream ran the request.
         daemon = await start(fleet, "shed", bounds=Bounds(stop_seconds=1.0))
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -85,6 +85,11 @@
             if connection.is_idle:
                 connection.force_close()
 
+    def close_unfinished(self) -> None:
+        """Answer the connections on which header lines still arrive."""
+        for connection in self._web.connections:
+            connection.close_unfinished()
+
     async def wait_idle(self, until: float) -> bool:
         """Wait until no request arrives or runs and all answers have left.
 
