Send a long body once only

Cause: of a body over 1 MB only the start is kept and the rest is streamed. A send that certainly did not run is followed by another, which got the start and what the first send had not yet read of the stream. Change: the body tells whether a send has begun to read its rest; then it is not sent again, and the caller gets 503. Ruled out: keeping whole bodies; they may have 64 MB, an instance 200 MB.

--- a/libraries/gateway/shallotspindle_gateway/bodies.py
+++ b/libraries/gateway/shallotspindle_gateway/bodies.py
@@ -36,11 +36,13 @@
 
     :param rest: the stream that holds what was not read; None if all was.
     :param largest: limit on the whole body, in bytes.
+    :param is_streamed: whether a send has begun to read the rest.
     """
 
     start: bytes
     rest: asyncio.StreamReader | None
     largest: int = 0
+    is_streamed: bool = False
 
     @property
     def exists(self) -> bool:
@@ -51,6 +53,11 @@
         """Whether the whole body is kept."""
         return self.rest is None
 
+    @property
+    def is_sendable(self) -> bool:
+        """Whether an upstream would get the body from its first byte to its last."""
+        return not self.is_streamed
+
     def digest(self) -> bytes:
         """Return the digest of the start, 32 bytes."""
         return hashlib.sha256(self.start).digest()
@@ -62,6 +69,7 @@
         return self.start if self.rest is None else self._iterate()
 
     async def _iterate(self) -> AsyncIterator[bytes]:
+        self.is_streamed = True
         yield self.start
         size = len(self.start)
         while chunk := await self.rest.read(CHUNK_BYTES):
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -190,15 +190,17 @@
     mode: str = "whole"
     runs: list[str] = field(default_factory=list)
     seen: list[web.BaseRequest] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
     cancelled: int = 0
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
+        body = await request.content.read()
         request_id = request.headers.get(NAMES.request_id, "")
         if self.mode == "shed":
             return web.Response(status=503, headers={NAMES.not_run: "1"})
         self.runs.append(request_id)
         self.seen.append(request)
+        self.bodies.append(body)
         fields = {NAMES.request_id: request_id, NAMES.signature: "s"}
         if self.mode == "hang":
             try:
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -187,6 +187,20 @@
         await asyncio.sleep(0.1)
         assert len(upstream.runs) == 2
 
+    async def test_a_long_body_goes_out_whole_or_not_at_all(self, fleet):
+        # Guards against an order that runs with the end of its body only: the rest of
+        # a long one was read for an upstream that shed it.
+        daemon = await start(fleet, "shed", "whole", "shed")
+        body = bytes(3 * 1024 * 1024)
+        for _ in range(8):
+            status, _, _ = await fleet.send(
+                daemon, "/orders/1", method="POST", body=body
+            )
+            assert status in (200, 503)
+        seen = fleet.upstreams["u1"].bodies
+        assert seen
+        assert {len(found) for found in seen} == {len(body)}
+
 
 class TestKeys:
     async def test_a_withdrawn_key_stops_working(self, fleet):
--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -50,6 +50,7 @@
 class Run:
     """Progress of one request.
 
+    :param is_sendable: whether the body can be sent from its start.
     :param runs: sends after which the request may have run.
     :param arrivals: sends that reached an upstream, run or not.
     """
@@ -57,6 +58,7 @@
     want: Want
     attempts: int
     build: Callable[[Borrowed, float], Order]
+    is_sendable: Callable[[], bool]
     sends: list[Sent]
     runs: int = 0
     arrivals: int = 0
@@ -87,15 +89,18 @@
         want: Want,
         attempts: int,
         build: Callable[[Borrowed, float], Order],
+        is_sendable: Callable[[], bool],
         sends: list[Sent],
     ) -> Answer | Failed:
         """Run a request until its answer is final.
 
         :param attempts: largest number of upstreams that may run it.
         :param build: returns what is sent with a slot in the seconds that are left.
+        :param is_sendable: tells whether the body can be sent from its start; what a
+            send has read of a stream is gone.
         :param sends: gets each send as it ends.
         """
-        run = Run(want, attempts, build, sends)
+        run = Run(want, attempts, build, is_sendable, sends)
         flights: list[Flight] = []
         try:
             return await self._run(run, flights)
@@ -131,13 +136,23 @@
         due = flight.started + flight.slot.hedge_seconds
         return max(0.0, due - self._clock.boottime())
 
-    async def _launch(self, run: Run, flights: list[Flight]) -> bool:
-        if len(run.sends) + len(flights) >= LARGEST_SENDS:
+    @staticmethod
+    def _may_send(run: Run, on_way: int) -> bool:
+        """Return whether a request may go to one more upstream.
+
+        :param on_way: number of sends that have not ended.
+        """
+        if len(run.sends) + on_way >= LARGEST_SENDS:
             return False
-        if run.runs + len(flights) >= run.attempts:
+        if run.runs + on_way >= run.attempts:
             return False
         if run.runs and not run.want.repeatable:
             return False
+        return run.is_sendable()
+
+    async def _launch(self, run: Run, flights: list[Flight]) -> bool:
+        if not self._may_send(run, len(flights)):
+            return False
         run.want = replace(
             run.want, hedge=bool(flights), repeat=bool(run.arrivals or flights)
         )
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -272,7 +272,9 @@
             running.orders += 1
             return self._build_order(call, body, slot, seconds)
 
-        result = await self._executor.run(want, attempts, build, trace.sends)
+        result = await self._executor.run(
+            want, attempts, build, lambda: body.is_sendable, trace.sends
+        )
         return self._conclude(result, trace)
 
     def begin_stop(self, plan: StopPlan) -> None:
