Answer 100 Continue at the gateway

Cause: the gateway's plain server has no handling of Expect. Change: after all checks have passed, a request that waits is asked for its body; a refusal still comes before it. Test: test_a_body_that_waits_for_100_continue_is_asked_for failed before (nothing in 2 s).

--- a/libraries/gateway/shallotspindle_gateway/bodies.py
+++ b/libraries/gateway/shallotspindle_gateway/bodies.py
@@ -10,13 +10,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from aiohttp import web
+from aiohttp import HttpVersion11, hdrs, web
 
 from shallotspindle_core.failures import Failure, FailureError
 
 KEPT_BYTES = 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 IDLE_SECONDS = 5.0
+CONTINUE_EXPECTED = "100-continue"
+CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class BodyFault(Enum):
@@ -79,6 +81,16 @@
             yield chunk
 
 
+async def send_continue(request: web.BaseRequest) -> None:
+    """Ask for the body of a caller that waits for ``100 Continue`` before it."""
+    expected = request.headers.get(hdrs.EXPECT, "").lower()
+    if expected != CONTINUE_EXPECTED or request.version < HttpVersion11:
+        return
+    await request.writer.write(CONTINUE_ANSWER)
+    # The final answer has not begun.
+    request.writer.output_size = 0
+
+
 async def read_body(request: web.BaseRequest, largest: int) -> Body | BodyFault:
     """Read the start of a body.
 
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -78,6 +78,10 @@
     def write(self, data):
         self._writer.write(data)
 
+    async def read_head(self):
+        """Return the next header lines."""
+        return await self._reader.readuntil(b"\r\n\r\n")
+
     async def read(self):
         """Return all bytes until the connection ends."""
         try:
@@ -86,8 +90,11 @@
             self._writer.close()
 
 
-def build_order(body):
-    """Return the bytes of a request with an effect."""
+def build_order(body, *further):
+    """Return the bytes of a request with an effect.
+
+    :param further: more header lines.
+    """
     lines = (
         "POST /orders/1 HTTP/1.1",
         "Host: soak.example",
@@ -95,6 +102,7 @@
         f"{NAMES.deadline}: 5000",
         f"Authorization: {NAMES.key_scheme} k1",
         f"Content-Length: {len(body)}",
+        *further,
     )
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -108,6 +116,20 @@
         assert (status, body) == (200, b"answer " + b"x" * 100_000)
         assert headers[NAMES.signature] == "s"
 
+    async def test_a_body_that_waits_for_100_continue_is_asked_for(self, fleet):
+        # Guards against uploads that their callers hold back.
+        daemon = await start(fleet, "whole")
+        caller = await RawCaller.connect(daemon)
+        lines = ("Expect: 100-continue", "Connection: close")
+        sent = build_order(b"scan", *lines)
+        caller.write(sent[:-4])
+        interim = await asyncio.wait_for(caller.read_head(), 2.0)
+        assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+        caller.write(sent[-4:])
+        answer = await caller.read()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.endswith(b"answer scan")
+
     async def test_an_upstream_sees_the_team_and_never_the_key(self, fleet):
         # Guards against a key that leaks, and against a team that the caller chose.
         daemon = await start(fleet, "whole")
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -191,6 +191,7 @@
     async def _run(self, call: Call, running: Running) -> Answer | Refusal:
         running.trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
+        await bodies.send_continue(call.request)
         body = await bodies.read_body(call.request, largest)
         if isinstance(body, BodyFault):
             return BODY_REFUSALS[body]
