Note a reload that is asked for while a gateway starts

Cause: the signal's handler is set when all services run, a second after the start. Until then SIGHUP has its default action.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -15,6 +15,7 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.failures import Failure
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
+from shallotspindle_environment.reloads import EarlyReloads
 from shallotspindle_gateway import messages
 from shallotspindle_gateway.admission import Admission
 from shallotspindle_gateway.borrowing import Borrower
@@ -56,6 +57,7 @@
     :param store: the platform's store.
     :param decoder: reads the documents in the store.
     :param reload: reads the settings again; None if they cannot change.
+    :param early: requests to reload from before the signal is handled here.
     """
 
     def __init__(
@@ -65,9 +67,11 @@
         decoder: Decoder,
         clock: Clock,
         reload: Reload | None = None,
+        early: EarlyReloads | None = None,
     ) -> None:
         self._settings = settings
         self._reload = reload
+        self._early = early or EarlyReloads()
         self._clock = clock
         source = random.SystemRandom()
         self._lifecycle = Lifecycle()
@@ -143,9 +147,15 @@
             logging.info(
                 "%s started, peers %s", self._settings.name, self.peers.address
             )
+            self.take_early_reload()
             await stopped.wait()
             await self.stop()
 
+    def take_early_reload(self) -> None:
+        """Reload if that was asked for while the process started."""
+        if self._early.take():
+            self.reload()
+
     def reload(self) -> None:
         """Read the settings again and take the bounds; addresses stay as they are."""
         if self._reload is None:
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import signal
 import socket
 from dataclasses import replace
 
@@ -628,3 +629,12 @@
         daemon._reload = lambda: Error(Failure("settings", "cannot be used"))
         daemon.reload()
         assert (await fleet.send(daemon))[0] == 200
+
+    async def test_a_reload_asked_for_during_the_start_is_made_up_for(self, fleet):
+        # Guards against settings that changed after a starting process had read them.
+        daemon = await start(fleet, "whole")
+        found = replace(daemon._settings, bounds=Bounds(key_seconds=0.0))
+        daemon._reload = lambda: Ok(found)
+        daemon._early._note(signal.SIGHUP, None)
+        daemon.take_early_reload()
+        assert not daemon.is_ready()
