Check in the soak that upstreams run whole bodies, and pour faster

The wrong answer alone did not tell that the body was cut.

Change: each run records the length of its body and the check body compares it; endless answers grow by 100 MB a second.

--- a/libraries/soak/shallotspindle_soak/callers.py
+++ b/libraries/soak/shallotspindle_soak/callers.py
@@ -187,6 +187,7 @@
         is_order = call.kind is Kind.ORDER
         size = self._random.choice(self._habit.body_bytes)
         body = (call.request_id.encode() * (size // 16 + 1))[:size] if is_order else b""
+        call.size = len(body)
         digests = self._random.choice(self._habit.digests)
         fields = {
             names.request_id: call.request_id,
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -22,6 +22,7 @@
     "refusal",
     "answer",
     "key",
+    "body",
     "withdrawal",
     "rate",
     "repeats",
--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -97,6 +97,16 @@
             yield Broken("key", run.request_id, f"ran for team {run.team!r}")
 
 
+def check_bodies(history: History) -> Iterator[Broken]:
+    """An upstream runs a request with its whole body."""
+    calls = {call.request_id: call for call in history.calls}
+    for run in history.runs:
+        call = calls.get(run.request_id)
+        if call is not None and run.size != call.size:
+            detail = f"{run.upstream} ran it with {run.size} of {call.size} bytes"
+            yield Broken("body", run.request_id, detail)
+
+
 def check_withdrawals(history: History) -> Iterator[Broken]:
     """A withdrawn key stops working in time, whatever is cut."""
     runs = find_runs(history)
@@ -265,6 +275,7 @@
     check_refusals,
     check_answers,
     check_keys,
+    check_bodies,
     check_withdrawals,
     check_rates,
     check_repeats,
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -58,6 +58,10 @@
     def test_a_key_that_an_upstream_saw(self):
         assert list_broken(build(ORDER, replace(RUN, key_seen=True))) == ["key"]
 
+    def test_a_run_with_a_part_of_the_body(self):
+        # Guards against a body that was sent on with its end missing.
+        assert list_broken(build(ORDER, replace(RUN, size=10))) == ["body"]
+
     def test_a_run_for_another_team(self):
         assert list_broken(build(ORDER, replace(RUN, team="kiosk"))) == ["key"]
 
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -19,6 +19,7 @@
     :param sent_at: when its caller began, in seconds.
     :param whole_at: when its last byte was on the way to the gateway, in seconds; 0 if
         that is not certain.
+    :param size: length of its body, in bytes.
     :param ended_at: when its answer was whole or its connection ended, in seconds.
     :param status: status of the answer; 0 for none.
     :param is_right: whether a success was the whole answer to this request.
@@ -34,6 +35,7 @@
     status: int = 0
     is_right: bool = True
     whole_at: float = 0.0
+    size: int = 0
 
 
 @dataclass(slots=True)
@@ -41,6 +43,7 @@
     """A request that an upstream began to work on.
 
     :param ended_at: when the work ended or was cancelled, in seconds.
+    :param size: length of the body that the upstream got, in bytes.
     """
 
     request_id: str
@@ -49,6 +52,7 @@
     key_seen: bool
     at: float
     ended_at: float = math.inf
+    size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/soak/shallotspindle_soak/upstreams.py
+++ b/libraries/soak/shallotspindle_soak/upstreams.py
@@ -18,9 +18,10 @@
 # Length of the answer to a small request, in digests of 64 bytes.
 SMALL_DIGESTS = 20
 LARGEST_BODY_BYTES = 8 * 1024 * 1024
-# An endless answer grows by 25 MB a second, so that one process can play all upstreams.
+# An endless answer grows by 100 MB a second. One process plays all upstreams, so that
+# more would delay the others.
 PIECE_BYTES = 512 * 1024
-PIECE_SECONDS = 0.02
+PIECE_SECONDS = 0.005
 
 
 class Mode(StrEnum):
@@ -98,7 +99,7 @@
         if mode is Mode.SHED:
             fields = {names.request_id: request_id, names.not_run: "1"}
             return web.Response(status=503, headers=fields)
-        async with self._record(request, request_id):
+        async with self._record(request, request_id, len(body)):
             await asyncio.sleep(self.work_seconds)
             if mode is Mode.HANG:
                 await asyncio.sleep(HANG_SECONDS)
@@ -108,12 +109,12 @@
 
     @asynccontextmanager
     async def _record(
-        self, request: web.BaseRequest, request_id: str
+        self, request: web.BaseRequest, request_id: str, size: int
     ) -> AsyncIterator[None]:
         team = request.headers.get(self._names.team, "")
         key_seen = "Authorization" in request.headers
         now = self._clock.boottime()
-        run = Run(request_id, self.name, team, key_seen, now)
+        run = Run(request_id, self.name, team, key_seen, now, size=size)
         self._history.runs.append(run)
         try:
             yield
