End the faults of an interrupted soak, and report stalls of the machine

Cause: a soak that was interrupted between two faults left three gateways behind: the faults in progress started them again after the end of the fleet. And a seed that broke recovery did not tell whether the machine had run the soak at all.

Change: the injection ends its tasks before the fleet ends; a test interrupts it. The line of a seed tells how long the process of the soak was not run though it was due.

--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -62,6 +62,17 @@
 
     async def play(self, events: list[Event]) -> None:
         """Inject the events at their times and wait until all are over."""
+        try:
+            await self._inject(events)
+            await asyncio.gather(*self._tasks)
+        finally:
+            # A restart that went on would leave a process behind.
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._fleet.history.quiet_from = self._fleet.clock.boottime()
+
+    async def _inject(self, events: list[Event]) -> None:
         started = self._fleet.clock.boottime()
         for event in events:
             passed = self._fleet.clock.boottime() - started
@@ -69,8 +80,6 @@
             logging.info("%s", event)
             injected = self._injectors[event.fault](event)
             self._tasks.append(asyncio.create_task(injected))
-        await asyncio.gather(*self._tasks)
-        self._fleet.history.quiet_from = self._fleet.clock.boottime()
 
     def _find_gateway(self, event: Event) -> Gateway:
         gateways = self._fleet.gateways
@@ -126,6 +135,7 @@
         stops = []
         for gateway in self._fleet.gateways:
             stops.append(asyncio.create_task(self._stop_gateway(gateway)))
+            self._tasks.append(stops[-1])
             if overlaps:
                 await asyncio.sleep(ROLL_GAP_SECONDS)
             else:
--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -63,6 +63,8 @@
     statuses: dict[str, int] = {}
     for call in history.calls:
         statuses[str(call.status)] = statuses.get(str(call.status), 0) + 1
+    stalls = [span.end - span.start for span in history.stalls]
+    late = [s.end - s.start for s in history.stalls if s.end > history.quiet_from]
     line = {
         "seed": seed,
         "calls": len(history.calls),
@@ -70,6 +72,8 @@
         "statuses": dict(sorted(statuses.items())),
         "stops": sum(map(len, history.stopped.values())),
         "peak_megabytes": max(history.memory.values(), default=0) // MEGABYTE,
+        "stall_seconds": round(sum(stalls), 1),
+        "stall_seconds_after_faults": round(sum(late), 1),
         "broken": [[b.promise, b.request_id, b.detail] for b in broken[:10]],
         "logs": str(folder) if broken else "",
     }
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from random import Random
 
 import pytest
 
@@ -13,7 +14,8 @@
 from shallotspindle_soak import faults, main, promises
 from shallotspindle_soak.broken import VARIANTS
 from shallotspindle_soak.faults import Event, Fault
-from shallotspindle_soak.fleet import PROGRAM
+from shallotspindle_soak.fleet import PROGRAM, Fleet
+from shallotspindle_soak.injection import RESTART_SECONDS, Injection
 
 BROKEN_PROGRAM = "shallotspindle_soak.broken"
 # Promises that hold however the machine schedules; the others bound times.
@@ -88,6 +90,24 @@
         with pytest.raises(FailureError):
             await play([], 1, tmp_path, program=("shallotspindle_soak.absent",))
 
+    async def test_a_soak_that_is_interrupted_leaves_no_process(self, tmp_path):
+        # Guards against a gateway that a fault in progress starts after the end.
+        fleet = Fleet(tmp_path, SystemClock(), Random(1))
+        try:
+            await fleet.start(2, 1, 1)
+            # The soak still waits for the last fault when it is interrupted.
+            kills = [
+                Event(at, Fault.KILL, 0.0, n) for n, at in enumerate((0.0, 0.0, 9.0))
+            ]
+            playing = asyncio.create_task(Injection(fleet).play(kills))
+            await asyncio.sleep(RESTART_SECONDS / 2)
+            playing.cancel()
+            await asyncio.gather(playing, return_exceptions=True)
+        finally:
+            await fleet.stop()
+        await asyncio.sleep(2 * RESTART_SECONDS)
+        assert not any(gateway.is_running for gateway in fleet.gateways)
+
 
 class TestBrokenDaemons:
     async def test_each_missing_mechanism_is_noticed(self, tmp_path):
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -81,6 +81,7 @@
     :param limits: rate and burst by team.
     :param memory: largest resident size that was seen, in bytes, by gateway.
     :param died: gateways whose process ended by itself, with its exit code.
+    :param stalls: when the process of the soak did not run though it was due.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -94,6 +95,7 @@
     limits: dict[str, tuple[float, float]] = field(default_factory=dict)
     memory: dict[str, int] = field(default_factory=dict)
     died: list[str] = field(default_factory=list)
+    stalls: list[Span] = field(default_factory=list)
     quiet_from: float = 0.0
 
     def is_disturbed(self, gateway: str, at: float, slack: float) -> bool:
--- a/libraries/soak/shallotspindle_soak/watching.py
+++ b/libraries/soak/shallotspindle_soak/watching.py
@@ -1,4 +1,4 @@
-"""Watches the memory and the ends of gateway processes."""
+"""Watches the memory and the ends of gateway processes, and stalls of the machine."""
 
 import asyncio
 import re
@@ -6,8 +6,10 @@
 from pathlib import Path
 
 from shallotspindle_soak.fleet import Fleet, Gateway
+from shallotspindle_soak.records import Span
 
 SAMPLE_SECONDS = 0.1
+LEAST_STALL_SECONDS = 0.1
 KIBIBYTE = 1024
 # A process without a bound is ended before it takes the memory of the machine.
 FORCED_BYTES = 1024**3
@@ -35,7 +37,15 @@
         while True:
             for gateway in self._fleet.gateways:
                 self._sample(gateway)
+            due = self._fleet.clock.boottime() + SAMPLE_SECONDS
             await asyncio.sleep(SAMPLE_SECONDS)
+            self._note_stall(due)
+
+    def _note_stall(self, due: float) -> None:
+        """Record that this process, which plays the upstreams, ran late."""
+        now = self._fleet.clock.boottime()
+        if now - due > LEAST_STALL_SECONDS:
+            self._fleet.history.stalls.append(Span(due, now))
 
     def _sample(self, gateway: Gateway) -> None:
         history = self._fleet.history
