Leave what is open at the end of a soak out of its recovery

With large requests and slow links more are open at that moment.

Change: a request that was open then counts as not served only if it was overdue; the soak plays 2.5 s longer, so that a request without an answer becomes overdue in it. A variant of the gateway that cuts bodies shows that the check of bodies can fail.

--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -23,6 +23,7 @@
 # More than the slack that a check allows a request that crosses the end.
 DROP_SECONDS = 0.6
 BREAK_SECONDS = 1.0
+CUT_BYTES = 100
 KEPT_BYTES = 32 * 1024 * 1024
 
 
@@ -74,6 +75,20 @@
     headers.build_upstream_headers = build_with_key
 
 
+def cut_bodies() -> None:
+    """Send a part of each body to upstreams, as if it were whole."""
+    build = Pipeline._build_order
+
+    def build_cut(self, *arguments):
+        order = build(self, *arguments)
+        if not isinstance(order.body, bytes):
+            return order
+        kept = {k: v for k, v in order.headers.items() if k != "Content-Length"}
+        return replace(order, body=order.body[:CUT_BYTES], headers=kept)
+
+    Pipeline._build_order = build_cut
+
+
 def trust_old_keys() -> None:
     """Accept keys however long ago the configuration was confirmed."""
     pipeline.FRESH_PART = 1000.0
@@ -175,6 +190,7 @@
         refuse_after_runs,
         believe_answers,
         pass_keys,
+        cut_bodies,
         trust_old_keys,
         ignore_rates,
         ignore_budget,
--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -333,6 +333,8 @@
 
     async def stop_callers(self) -> None:
         """End the callers between two requests or in one."""
+        left_at = min(self.history.callers_left_at, self.clock.boottime())
+        self.history.callers_left_at = left_at
         for task in self._callers:
             task.cancel()
         await asyncio.gather(*self._callers, return_exceptions=True)
--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -26,6 +26,8 @@
 UPSTREAMS = 8
 CALLERS = 18
 SETTLE_SECONDS = 2.5
+# Leaves time in which a request that gets no answer becomes overdue.
+RECOVERED_SECONDS = 2 * promises.OVERDUE_SECONDS
 EXIT_BROKEN = 1
 MEGABYTE = 1024**2
 app = cyclopts.App(name="shallotspindle-soak", help=__doc__)
@@ -37,7 +39,7 @@
     folder: Path,
     clock: Clock,
     program: tuple[str, ...] = (PROGRAM,),
-    rest: float = promises.RECOVERY_SECONDS + SETTLE_SECONDS,
+    rest: float = promises.RECOVERY_SECONDS + RECOVERED_SECONDS,
 ) -> History:
     """Play faults against a new fleet and return its history.
 
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -43,6 +43,7 @@
     "refuse_after_runs": (GRAY, "refusal"),
     "believe_answers": (GRAY, "answer"),
     "pass_keys": ([], "key"),
+    "cut_bodies": ([], "body"),
     "trust_old_keys": (
         [
             Event(0.0, Fault.STORE_AWAY, 9.0, 0),
--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -39,6 +39,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RECOVERY_SECONDS = 6.0
 LEAST_RECOVERED_PART = 0.9
+# Longer than every route's timeout and the way of a large request.
+OVERDUE_SECONDS = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,12 +265,19 @@
         if call.sent_at >= since
         and call.key not in history.withdrawn
         and call.status != 429
+        and not _is_unfinished(history, call)
     ]
     served = sum(call.status == 200 for call in late)
     if late and served < LEAST_RECOVERED_PART * len(late):
         yield Broken("recovery", "", f"{served} of {len(late)} served")
 
 
+def _is_unfinished(history: History, call: Call) -> bool:
+    """Return whether a call was open when the callers left and was not yet overdue."""
+    open_seconds = history.callers_left_at - call.sent_at
+    return call.ended_at == 0.0 and open_seconds < OVERDUE_SECONDS
+
+
 Check = Callable[[History], Iterator[Broken]]
 CHECKS: tuple[Check, ...] = (
     check_once,
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -158,3 +158,12 @@
     def test_a_fleet_that_does_not_come_back(self):
         failed = replace(ORDER, status=503)
         assert list_broken(build(failed, quiet_from=1.0)) == ["recovery"]
+
+    def test_a_request_that_was_open_when_the_callers_left(self):
+        # Guards against a fleet that is blamed for the end of the soak, and against
+        # one that answers nothing.
+        cut = replace(ORDER, status=0, ended_at=0.0)
+        late = {"quiet_from": 1.0, "callers_left_at": 11.0}
+        assert list_broken(build(cut, **late)) == []
+        late["callers_left_at"] = 13.0
+        assert list_broken(build(cut, **late)) == ["recovery"]
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -81,6 +81,8 @@
     :param limits: rate and burst by team.
     :param memory: largest resident size that was seen, in bytes, by gateway.
     :param died: gateways whose process ended by itself, with its exit code.
+    :param callers_left_at: when the callers were ended, in seconds; what they had open
+        then has no outcome.
     :param stalls: when the process of the soak did not run though it was due.
     """
 
@@ -97,6 +99,7 @@
     died: list[str] = field(default_factory=list)
     stalls: list[Span] = field(default_factory=list)
     quiet_from: float = 0.0
+    callers_left_at: float = math.inf
 
     def is_disturbed(self, gateway: str, at: float, slack: float) -> bool:
         """Return whether faults at a gateway excuse what is bound in time."""
