Play answers of 8 MB over limited links in the soak

Change: two callers get answers of 8 MB over links of 10 MB/s; pieces and buffers of a limited link follow from its rate.

--- a/libraries/soak/shallotspindle_soak/callers.py
+++ b/libraries/soak/shallotspindle_soak/callers.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from types import SimpleNamespace
 
@@ -34,6 +34,7 @@
     :param digests: lengths of answers to choose from, in digests of 64 bytes.
     :param visits: whether it opens a connection anew after a few requests, and seeks
         gateways that are in a planned stop.
+    :param link_rate: limit of its links, in bytes a second; 0 for none.
     """
 
     pause: float = 0.1
@@ -41,14 +42,26 @@
     body_bytes: tuple[int, ...] = (SMALL_BODY_BYTES,)
     digests: tuple[int, ...] = (SMALL_DIGESTS,)
     visits: bool = False
+    link_rate: float = 0.0
 
 
 STEADY = Habit()
 # Bodies beyond 1 MB are streamed by the gateway.
 LARGE = Habit(0.2, 0.7, (20_000, 200_000, 1_500_000), (SMALL_DIGESTS, 5_000))
-SLOW = Habit(0.1, 0.7, (SMALL_BODY_BYTES, 60_000, 200_000), (SMALL_DIGESTS, 3_000))
+# 200 KB take 0.8 s, about half of the route's timeout.
+SLOW = Habit(
+    pause=0.1,
+    order_part=0.7,
+    body_bytes=(SMALL_BODY_BYTES, 60_000, 200_000),
+    digests=(SMALL_DIGESTS, 3_000),
+    link_rate=250_000.0,
+)
 VISITOR = Habit(0.25, 0.7, visits=True)
-SLOW_VISITOR = Habit(0.25, 0.7, SLOW.body_bytes, SLOW.digests, visits=True)
+SLOW_VISITOR = replace(SLOW, pause=0.25, visits=True)
+# 8 MB take 0.8 s; the kernel holds less of an answer than that.
+LONG_ANSWERS = Habit(
+    pause=0.2, digests=(SMALL_DIGESTS, 125_000), visits=True, link_rate=10_000_000.0
+)
 CROWDING = Habit(0.02, 1.0)
 LONGEST_VISIT = 3
 # Of a longer body the gateway may leave a part unread.
--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -24,6 +24,7 @@
 from shallotspindle_soak.callers import (
     CROWDING,
     LARGE,
+    LONG_ANSWERS,
     SLOW,
     SLOW_VISITOR,
     STEADY,
@@ -60,10 +61,13 @@
 POLL_SECONDS = 0.05
 WITHDRAWN_PART = 0.15
 TIMEOUT_STEP_SECONDS = 0.1
-# 200 KB take 0.8 s, about half of the route's timeout.
-SLOW_RATE = 250_000.0
 # Callers with more than small requests; their team has no limit.
-SPECIAL_HABITS = (LARGE, LARGE, SLOW, SLOW, VISITOR, VISITOR, VISITOR, SLOW_VISITOR)
+SPECIAL_HABITS = (
+    *(LARGE, LARGE),
+    *(SLOW, SLOW, SLOW_VISITOR),
+    *(VISITOR, VISITOR, VISITOR),
+    *(LONG_ANSWERS, LONG_ANSWERS),
+)
 SPECIAL_TEAM = "guild"
 CROWD = 40
 # With this work the slots of eight upstreams carry 40 requests a second.
@@ -176,15 +180,18 @@
     async def start_special_callers(self) -> None:
         """Start callers with large requests, slow links and many connections."""
         for habit in SPECIAL_HABITS:
-            slow = habit in (SLOW, SLOW_VISITOR)
-            targets = await self._build_links() if slow else self._targets
+            rate = habit.link_rate
+            targets = await self._build_links(rate) if rate else self._targets
             self._start_caller(targets, SPECIAL_TEAM, habit)
 
-    async def _build_links(self) -> list[Target]:
-        """Return the gateways as reached over slow links of one caller."""
+    async def _build_links(self, rate: float) -> list[Target]:
+        """Return the gateways as reached over slow links of one caller.
+
+        :param rate: limit of each link, in bytes a second.
+        """
         targets = []
         for gateway in self.gateways:
-            link = Proxy(gateway.ip, CALLERS_PORT, SLOW_RATE, self.clock)
+            link = Proxy(gateway.ip, CALLERS_PORT, rate, self.clock)
             self._links.append(link)
             targets.append(Target(gateway.name, await link.start(), link))
         return targets
--- a/libraries/soak/shallotspindle_soak/proxies.py
+++ b/libraries/soak/shallotspindle_soak/proxies.py
@@ -7,10 +7,9 @@
 from shallotspindle_core.clock import Clock
 
 CHUNK_BYTES = 64 * 1024
-# Small pieces and buffers, so that little is on the way over a slow link. The segment
-# size is that of a network card: over loopback the sender's buffer would hold more.
-SLOW_CHUNK_BYTES = 4 * 1024
-SLOW_BUFFER_BYTES = 8 * 1024
+# A limited link takes no more in advance than it passes on in this time.
+TURN_SECONDS = 0.02
+# Segments of a network card; over loopback the sender's buffer would hold more.
 SEGMENT_BYTES = 1400
 
 
@@ -33,17 +32,20 @@
         self.cuts_up = self.cuts_down = False
 
 
-def build_slow() -> socket.socket:
-    """Return a socket that takes little in advance, as at a slow link."""
+def build_slow(size: int) -> socket.socket:
+    """Return a socket that takes little in advance, as at a slow link.
+
+    :param size: its buffer, in bytes.
+    """
     made = socket.socket()
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
     return made
 
 
-def bind_slow(host: str) -> socket.socket:
+def bind_slow(host: str, size: int) -> socket.socket:
     """Return a listening socket whose connections take little in advance."""
-    made = build_slow()
+    made = build_slow(size)
     made.bind((host, 0))
     made.listen()
     return made
@@ -70,6 +72,7 @@
         self.up_at = 0.0
         self.holds_up = False
         self._rate = rate
+        self._size = int(rate * TURN_SECONDS) if rate else CHUNK_BYTES
         self._clock = clock
         self._server = (host, port)
         self._writers: set[asyncio.StreamWriter] = set()
@@ -80,7 +83,7 @@
             self._listener = await asyncio.start_server(self._serve, host, 0)
         else:
             self._listener = await asyncio.start_server(
-                self._serve, sock=bind_slow(host), limit=SLOW_CHUNK_BYTES
+                self._serve, sock=bind_slow(host, self._size), limit=self._size
             )
         found = self._listener.sockets[0].getsockname()
         return f"{found[0]}:{found[1]}"
@@ -122,14 +125,14 @@
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         if not self._rate:
             return await asyncio.open_connection(*self._server)
-        made = build_slow()
+        made = build_slow(self._size)
         made.setblocking(False)
         try:
             await asyncio.get_running_loop().sock_connect(made, self._server)
         except OSError:
             made.close()
             raise
-        return await asyncio.open_connection(sock=made, limit=SLOW_CHUNK_BYTES)
+        return await asyncio.open_connection(sock=made, limit=self._size)
 
     async def _pass(
         self,
@@ -138,8 +141,7 @@
         *,
         is_up: bool,
     ) -> None:
-        size = SLOW_CHUNK_BYTES if self._rate else CHUNK_BYTES
-        while data := await reader.read(size):
+        while data := await reader.read(self._size):
             self.holds_up = self.holds_up or is_up
             delay = self.harm.delay + (len(data) / self._rate if self._rate else 0.0)
             if delay:
