Tell in the soak how long a gateway got no processor

Samples of /proc during the play show the process runnable with no tick of processor time for 1.3 s, until it woke after the end of its stop.

The case stays broken.

--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -67,6 +67,10 @@
         statuses[str(call.status)] = statuses.get(str(call.status), 0) + 1
     stalls = [span.end - span.start for span in history.stalls]
     late = [s.end - s.start for s in history.stalls if s.end > history.quiet_from]
+    starved = {
+        name: round(sum(span.end - span.start for span in spans), 1)
+        for name, spans in sorted(history.starved.items())
+    }
     line = {
         "seed": seed,
         "calls": len(history.calls),
@@ -76,6 +80,7 @@
         "peak_megabytes": max(history.memory.values(), default=0) // MEGABYTE,
         "stall_seconds": round(sum(stalls), 1),
         "stall_seconds_after_faults": round(sum(late), 1),
+        "starved_seconds": starved,
         "broken": [[b.promise, b.request_id, b.detail] for b in broken[:10]],
         "logs": str(folder) if broken else "",
     }
--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -194,9 +194,20 @@
             began = call.sent_at - stop.start
             ended = call.ended_at - stop.start
             detail = f"{loss} at {call.gateway}, {began:.2f} to {ended:.2f} s of a stop"
+            starved = _find_starved(history, call)
+            if starved:
+                detail += f", {starved:.1f} s of it without a processor"
             yield Broken("stop", call.request_id, detail)
 
 
+def _find_starved(history: History, call: Call) -> float:
+    """Return how long the gateway of a call could run and got no processor."""
+    return sum(
+        max(0.0, min(span.end, call.ended_at) - max(span.start, call.sent_at))
+        for span in history.starved.get(call.gateway, ())
+    )
+
+
 def _find_stop(history: History, call: Call) -> Span | None:
     """Return the planned stop in which a call ended."""
     spans = history.stopped.get(call.gateway, ())
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -136,6 +136,14 @@
         run = replace(RUN, at=sent_at + 0.1)
         assert list_broken(build(call, run, **STOPPED)) == broken
 
+    def test_a_loss_tells_how_long_the_gateway_had_no_processor(self):
+        # Guards against a machine without processors that looks like a lost request:
+        # the case stays broken, and its detail names the time.
+        lost = replace(ORDER, status=0, sent_at=9.0, whole_at=9.2)
+        history = build(lost, **STOPPED, starved={"g1": [Span(9.5, 30.0)]})
+        (broken,) = promises.check_all(history)
+        assert "0.7 s of it without a processor" in broken.detail
+
     def test_an_unknown_outcome_where_nothing_ran(self):
         # Guards against 504 for a request that all upstreams had shed.
         call = replace(ORDER, status=504)
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -84,6 +84,7 @@
     :param callers_left_at: when the callers were ended, in seconds; what they had open
         then has no outcome.
     :param stalls: when the process of the soak did not run though it was due.
+    :param starved: when a gateway could run and got no processor, by gateway.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -98,6 +99,7 @@
     memory: dict[str, int] = field(default_factory=dict)
     died: list[str] = field(default_factory=list)
     stalls: list[Span] = field(default_factory=list)
+    starved: dict[str, list[Span]] = field(default_factory=dict)
     quiet_from: float = 0.0
     callers_left_at: float = math.inf
 
