--- a/libraries/soak/shallotspindle_soak/regressions.py
+++ b/libraries/soak/shallotspindle_soak/regressions.py
@@ -30,6 +30,15 @@
     without: frozenset[Fault] = frozenset()
 
 
+LATE_WORK = (
+    "a request of the second half of a planned stop was sent to an upstream that "
+    "hung, and broken off at the end"
+)
+CUT_BODY = (
+    "an order of 1.5 MB was sent on with its end missing: the part that is streamed "
+    "was read for an upstream that shed it"
+)
+EARLY_RELOAD = "SIGHUP ended a process that was still starting"
 REGRESSIONS = (
     Regression(
         109,
@@ -37,4 +46,15 @@
         "before it had heard of its own write",
         AFTER_109,
     ),
+    Regression(1003, LATE_WORK),
+    Regression(1004, f"{LATE_WORK}; {EARLY_RELOAD}"),
+    Regression(
+        1005, "not traced: after the faults five of eight upstreams were unused"
+    ),
+    Regression(1008, LATE_WORK),
+    Regression(1010, f"{LATE_WORK}; {CUT_BODY}"),
+    Regression(1011, f"{LATE_WORK}; {CUT_BODY}"),
+    Regression(1012, "not traced: the store's answers came late after the faults"),
+    Regression(2003, CUT_BODY),
+    Regression(2101, EARLY_RELOAD),
 )
