--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -3,6 +3,7 @@
 Usage: ``python -m shallotspindle_soak.broken NAME``; never used by a deployment.
 """
 
+import asyncio
 import os
 import sys
 from collections.abc import Callable
@@ -19,6 +20,12 @@
 from shallotspindle_registry.records import State
 from shallotspindle_retries.budget import Budget
 
+# More than the slack that a check allows a request that crosses the end.
+DROP_SECONDS = 0.6
+BREAK_SECONDS = 1.0
+CUT_BYTES = 100
+KEPT_BYTES = 32 * 1024 * 1024
+
 
 def repeat_orders() -> None:
     """Treat work with an effect as if it could run twice."""
@@ -68,6 +75,20 @@
     headers.build_upstream_headers = build_with_key
 
 
+def cut_bodies() -> None:
+    """Send a part of each body to upstreams, as if it were whole."""
+    build = Pipeline._build_order
+
+    def build_cut(self, *arguments):
+        order = build(self, *arguments)
+        if not isinstance(order.body, bytes):
+            return order
+        kept = {k: v for k, v in order.headers.items() if k != "Content-Length"}
+        return replace(order, body=order.body[:CUT_BYTES], headers=kept)
+
+    Pipeline._build_order = build_cut
+
+
 def trust_old_keys() -> None:
     """Accept keys however long ago the configuration was confirmed."""
     pipeline.FRESH_PART = 1000.0
@@ -106,6 +127,62 @@
     Daemon.stop = stop
 
 
+def drop_late_requests() -> None:
+    """Close the connections of requests that come in a planned stop."""
+    stopping = asyncio.Event()
+    stop, serve = Daemon.stop, Pipeline.serve
+
+    async def stop_dropping(self):
+        stopping.set()
+        await stop(self)
+
+    async def serve_unless_stopping(self, request, trace):
+        if stopping.is_set():
+            await request.read()
+            await asyncio.sleep(DROP_SECONDS)
+            request.transport.abort()
+        return await serve(self, request, trace)
+
+    Daemon.stop, Pipeline.serve = stop_dropping, serve_unless_stopping
+
+
+def break_off_work() -> None:
+    """Answer 504 in a planned stop while upstreams are at work."""
+    stop = Daemon.stop
+
+    async def stop_breaking_off(self):
+        asyncio.get_running_loop().call_later(BREAK_SECONDS, self._pipeline.end)
+        await stop(self)
+
+    Daemon.stop = stop_breaking_off
+
+
+def keep_answers() -> None:
+    """Hold what was read of an endless answer, and more."""
+    kept = []
+    send = forwarding.Forwarder.send
+
+    async def send_keeping(self, order):
+        attempt = await send(self, order)
+        if attempt.answer is None:
+            kept.append(b"x" * KEPT_BYTES)
+        return attempt
+
+    forwarding.Forwarder.send = send_keeping
+
+
+def end_on_errors() -> None:
+    """End the process when an upstream fails."""
+    judge = forwarding.Forwarder._judge
+
+    def judge_or_end(self, order, response, body):
+        if response.status >= forwarding.SERVER_ERROR:
+            os._exit(1)
+        return judge(self, order, response, body)
+
+    forwarding.Forwarder._judge = judge_or_end
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     item.__name__: item
     for item in (
@@ -113,11 +190,16 @@
         refuse_after_runs,
         believe_answers,
         pass_keys,
+        cut_bodies,
         trust_old_keys,
         ignore_rates,
         ignore_budget,
         ignore_draining,
         stop_at_once,
+        drop_late_requests,
+        break_off_work,
+        keep_answers,
+        end_on_errors,
     )
 }
 
