Close a connection at once when its answer failed

Cause: a connection whose answer failed was closed with `transport.close()`, which waits until the peer has read the rest of the request. An upstream that sends bytes that are no answer and does not read the request kept its connection open without end, also after a whole answer. What callers saw: nothing at first; each such send kept a descriptor and up to the whole request body in the instance's memory. Evidence: with a request of 32 MB, an upstream that writes garbage, or a whole answer and more, and reads nothing had seen no end of its connection after 10 s. Change: `entry.upstream_connections.WatchedHandler`, used by both daemons, aborts a connection whose answer is not whole, and one whose answer is whole 2 s after its close if a part of the request is still unread. After: the upstream sees the end in both cases. Both cases of gateway/forwarding_test.py fail before; the case of entry/forwarding_test.py passes before as well and stays as a guard.

--- a/libraries/entry/shallotspindle_entry/forwarding.py
+++ b/libraries/entry/shallotspindle_entry/forwarding.py
@@ -6,8 +6,10 @@
 the arrival of a request can cross.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -15,6 +17,7 @@
 from aiomisc import Service
 
 from shallotspindle_bundles.records import Upstream
+from shallotspindle_entry.upstream_connections import WatchedHandler
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_BUFFER_BYTES = 64 * 1024
@@ -23,6 +26,11 @@
 class CheckedConnector(aiohttp.TCPConnector):
     """Connector that reuses no connection on which unexpected data arrived."""
 
+    def __init__(self, **params: Any) -> None:
+        super().__init__(**params)
+        loop = asyncio.get_running_loop()
+        self._factory = partial(WatchedHandler, loop=loop)
+
     async def _get(self, key: Any, traces: list[Any]) -> Connection | None:
         while (found := await super()._get(key, traces)) is not None:
             if found.protocol is not None and not found.protocol.should_close:
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -12,11 +12,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiomisc import Service
 from multidict import CIMultiDict
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_entry.upstream_connections import WatchedHandler
 from shallotspindle_lending.records import Outcome
 
 CONNECT_SECONDS = 0.08
@@ -71,19 +71,6 @@
     seconds: float
 
 
-class WatchedHandler(ResponseHandler):
-    """Connection that remembers that it was reset.
-
-    An answer without a length ends with its connection; a reset must not end it.
-    """
-
-    was_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 class Forwarder(Service):
     """Owns the connections to upstreams.
 
