Keep a whole answer when other bytes follow it

Cause: aiohttp's parser drops the messages of one read when it refuses a byte behind them. A whole answer that came in one segment with bytes that are no answer was lost. What callers saw: 502 for a request with an effect that had run and been answered; a repeat for any other one. Evidence: upstreams on loopback that send garbage behind an answer with a length or in chunks, in one write: the send ended as truncated, or the read at the entry daemon with 502. Change: heads are handed to the parser on their own. What it refuses behind a whole body then no longer takes the answer with it; the connection is closed.

--- a/libraries/entry/shallotspindle_entry/forwarding_test.py
+++ b/libraries/entry/shallotspindle_entry/forwarding_test.py
@@ -1,8 +1,14 @@
 import asyncio
 
+import pytest
+
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"Content-Length: 5\r\n\r\nwhole"
 PIECE_BYTES = 64 * 1024
 # A caller waits for less than the time of the route, 600 s, and for more than any run.
 WAIT_SECONDS = 20.0
+# What two sockets and two event loops may take on loopback.
+SOCKET_BYTES = 16 * 1024 * 1024
 
 
 class Endless:
@@ -51,6 +57,15 @@
 
 
 class TestKeptConnections:
+    @pytest.mark.parametrize("rest", [b"\x00\xffgarbage", WHOLE, b"x"])
+    async def test_bytes_behind_a_whole_answer_are_dropped(self, edge, rest):
+        # Guards against a whole answer that is lost with the bytes behind it.
+        endless = Endless(edge, WHOLE, rest)
+        edge.upstream.scripts = [endless, edge.upstream.answer(WHOLE)]
+        assert (await post(edge)).endswith(b"whole")
+        await endless.await_closed()
+        assert endless.sent <= SOCKET_BYTES
+
     async def test_an_upstream_that_does_not_read_is_cut_off(self, edge):
         # Guards against a connection that stays open because a part of the request
         # was never read: a close waits for it.
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+from typing import Any
 
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
 # Time for the rest of a request whose answer is whole. An upstream that does not read
 # would keep the connection open without end.
 FLUSH_SECONDS = 2.0
+HEAD_END = b"\r\n\r\n"
 
 
 class WatchedHandler(ResponseHandler):
@@ -22,6 +25,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.was_reset = False
+        self._last = b""
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request of the connection."""
+        self._last = b""
+        self._payload = None
+        super().set_response_params(**params)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.was_reset = exc is not None
@@ -41,8 +51,41 @@
         super().close()
 
     def data_received(self, data: bytes) -> None:
-        super().data_received(data)
-        # The parser refused the bytes and closed the connection, but a close waits for
-        # the rest of the request.
+        if not data:
+            # Reading goes on after a pause, with what the parser kept.
+            super().data_received(data)
+            self._check()
+            return
+        while data and self.transport is not None and self._exception is None:
+            size = self._find_part(data)
+            super().data_received(data[:size])
+            data = data[size:]
+            self._check()
+
+    def _is_in_head(self) -> bool:
+        return self._payload is None or self._payload is EMPTY_PAYLOAD
+
+    def _find_part(self, data: bytes) -> int:
+        """Return how many bytes the parser gets at once.
+
+        It forgets an answer that came whole if the bytes behind it are no answer.
+        Heads are therefore handed to it on their own.
+        """
+        if not self._is_in_head():
+            return len(data)
+        # The end of a head may be spread over two parts.
+        head = self._last + data
+        end = head.find(HEAD_END)
+        if end >= 0:
+            head = head[: end + len(HEAD_END)]
+        size = len(head) - len(self._last)
+        self._last = b"" if end >= 0 else head[-len(HEAD_END) + 1 :]
+        return size
+
+    def _check(self) -> None:
+        """Close the connection at once if the parser refused its bytes.
+
+        The parser closes it as well, but a close waits for the rest of the request.
+        """
         if self._exception is not None and self.transport is not None:
             self.transport.abort()
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -9,6 +9,7 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_gateway.conftest import NAMES
 from shallotspindle_gateway.forwarding import Forwarder, Order
+from shallotspindle_lending.records import Outcome
 
 MEBIBYTE = 1024 * 1024
 # What two sockets and two event loops may take beyond the limit on loopback.
@@ -18,6 +19,16 @@
 PIECE_BYTES = 64 * 1024
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"Content-Length: 5\r\n\r\nwhole"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+# What follows a whole answer.
+RESTS = (
+    (WHOLE, b"\x00\xffgarbage"),
+    (WHOLE, WHOLE),
+    (WHOLE, b"x"),
+    (CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n", b"\x00\xffgarbage"),
+    (CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n", WHOLE),
+)
 
 
 @dataclass
@@ -117,3 +128,55 @@
         await forwarder.send(order(address, "POST", b"x" * 32 * MEBIBYTE))
         await await_closed(upstream)
         assert upstream.sent <= SOCKET_BYTES
+
+
+class TestWholeAnswers:
+    @pytest.mark.parametrize(("start", "unit"), RESTS)
+    async def test_bytes_behind_a_whole_answer_are_dropped(
+        self, forwarder, upstreams, start, unit
+    ):
+        # Guards against a whole answer that is lost with the bytes behind it, and
+        # against an order that is reported as failed though its answer came.
+        upstream = EndlessUpstream(start, unit)
+        address = await upstreams.add(upstream)
+        attempt = await forwarder.send(order(address, "POST"))
+        assert attempt.outcome is Outcome.WHOLE
+        assert attempt.answer.body == b"whole"
+        await await_closed(upstream)
+        assert upstream.sent <= SOCKET_BYTES
+
+    @pytest.mark.parametrize("size", [100, 3000, 200_000])
+    async def test_a_long_answer_in_chunks_is_taken_to_its_end(
+        self, forwarder, upstreams, size
+    ):
+        # Guards against the end of an answer that is lost while reading is paused.
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            chunk = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n"
+            writer.write(CHUNKED + chunk * 5 + b"0\r\n\r\n")
+            writer.close()
+
+        upstream = EndlessUpstream(b"", b"x")
+        upstream.serve = serve
+        attempt = await forwarder.send(order(await upstreams.add(upstream)))
+        assert attempt.outcome is Outcome.WHOLE
+        assert attempt.answer.body == b"x" * 5 * size
+
+    async def test_a_head_in_single_bytes_is_taken(self, forwarder, upstreams):
+        # Guards against the end of a head that is missed where it is spread over
+        # several parts.
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for byte in b"HTTP/1.1 103 E\r\n\r\n" + WHOLE[:-5]:
+                writer.write(bytes([byte]))
+                await writer.drain()
+                await asyncio.sleep(0)
+            writer.write(b"whole\x00\xffgarbage")
+            await reader.read()
+            writer.close()
+
+        upstream = EndlessUpstream(b"", b"x")
+        upstream.serve = serve
+        attempt = await forwarder.send(order(await upstreams.add(upstream)))
+        assert attempt.outcome is Outcome.WHOLE
+        assert attempt.answer.body == b"whole"
