End an answer whose body the parser refuses

Cause: when aiohttp's parser refuses bytes of a body, it tells those who wait for a head but not those who read the body, whose stream never ended. What callers saw: with a bad chunk or trailer in a later segment than the head, 504 at the deadline; at the entry daemon half an answer until the deadline, up to 600 s. Change: the stream of the body gets an exception, so that the send ends as truncated. Before: 2 of the 3 cases of TestRefusedBodies in gateway/forwarding_test.py fail; a run of those in entry/forwarding_test.py did not end within 40 s. After: they pass.

--- a/libraries/entry/shallotspindle_entry/forwarding_test.py
+++ b/libraries/entry/shallotspindle_entry/forwarding_test.py
@@ -4,6 +4,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"Content-Length: 5\r\n\r\nwhole"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 PIECE_BYTES = 64 * 1024
 # A caller waits for less than the time of the route, 600 s, and for more than any run.
 WAIT_SECONDS = 20.0
@@ -74,3 +75,20 @@
         await post(edge, b"x" * 8 * 1024 * 1024, "/open", "")
         assert edge.upstream.connections == 1
         await endless.await_closed()
+
+
+class TestRefusedBodies:
+    @pytest.mark.parametrize(
+        ("start", "unit"),
+        [
+            (CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n"),
+            (CHUNKED + b"4\r\nabcd\r\n0\r\nT: ", b"v"),
+        ],
+    )
+    async def test_a_body_that_is_no_body_aborts_the_caller(self, edge, start, unit):
+        # Guards against a caller that waits until the deadline for the rest of an
+        # answer whose next bytes are no answer, and against an answer that looks whole.
+        endless = Endless(edge, start, unit)
+        edge.upstream.scripts = [endless]
+        assert not (await post(edge)).endswith(b"0\r\n\r\n")
+        await endless.await_closed()
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -6,7 +6,9 @@
 import asyncio
 from typing import Any
 
+import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
 from aiohttp.streams import EMPTY_PAYLOAD
 
 # Time for the rest of a request whose answer is whole. An upstream that does not read
@@ -83,9 +85,14 @@
         return size
 
     def _check(self) -> None:
-        """Close the connection at once if the parser refused its bytes.
+        """End an answer whose bytes the parser refused.
 
-        The parser closes it as well, but a close waits for the rest of the request.
+        The parser tells those who wait for a head but not those who read a body, and
+        it closes the connection, which waits for the rest of the request.
         """
-        if self._exception is not None and self.transport is not None:
-            self.transport.abort()
+        if self._exception is None or self.transport is None:
+            return
+        if self._payload is not None and not self._payload.is_eof():
+            error = aiohttp.ClientPayloadError("the parser refused a body")
+            set_exception(self._payload, error)
+        self.transport.abort()
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -180,3 +180,24 @@
         attempt = await forwarder.send(order(await upstreams.add(upstream)))
         assert attempt.outcome is Outcome.WHOLE
         assert attempt.answer.body == b"whole"
+
+
+class TestRefusedBodies:
+    @pytest.mark.parametrize(
+        ("start", "unit"),
+        [
+            (CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n"),
+            (CHUNKED + b"0\r\nT: ", b"v"),
+            (CHUNKED + b"0\r\n", b"T: v\r\n"),
+        ],
+    )
+    async def test_a_body_that_is_no_body_ends_the_answer(
+        self, forwarder, upstreams, start, unit
+    ):
+        # Guards against a request that waits until its time is over for the rest of
+        # an answer whose next bytes are no answer.
+        upstream = EndlessUpstream(start, unit)
+        address = await upstreams.add(upstream)
+        attempt = await forwarder.send(order(address))
+        assert (attempt.outcome, attempt.answer) == (Outcome.TRUNCATED, None)
+        await await_closed(upstream)
