Break off answers of upstreams that have no end

Cause: the gateway read an answer whole without a limit on its size, and the entry daemon did so with a shed answer that no caller gets. aiohttp counts no informational answers and no framing of chunks, and a reader that always finds bytes never waits, so that such answers also took the loop's time. What callers saw: 504 at the deadline for the request itself, 503 or seconds of waiting for those beside it, and in the end an instance killed for its memory. The send ends as truncated, its fault stands in the request's log line, and a request with an effect is not sent again. The reader lets other requests run between two parts. An unasked 101 is no answer. The entry daemon bounds heads and framing and reads at most 64 KiB of a shed answer; bodies stay streams.

--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -23,6 +23,7 @@
 from shallotspindle_retries import eligibility
 
 STORED_BYTES = 64 * 1024
+DROPPED_BYTES = 64 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 SERVER_ERROR = 500
 UNAVAILABLE = 503
@@ -82,6 +83,18 @@
         raise FailureError(UnframedAnswer("upstream", "the answer has no length"))
 
 
+async def drop_body(answer: aiohttp.ClientResponse) -> None:
+    """Read the body of an answer that is not given to the caller.
+
+    A longer body is not read to its end: its connection is closed and not used again.
+    """
+    size = 0
+    async for chunk in answer.content.iter_any():
+        size += len(chunk)
+        if size > DROPPED_BYTES:
+            return
+
+
 class Exchange:
     """Sends one request to one upstream and streams the answer to the caller."""
 
@@ -136,7 +149,7 @@
                 if attempt.not_run or call.idempotent:
                     attempt.result = Outcome.SHED
                     attempt.status = answer.status
-                    await answer.read()
+                    await drop_body(answer)
                     return
             await self._relay(answer, attempt)
 
--- a/libraries/entry/shallotspindle_entry/forwarding.py
+++ b/libraries/entry/shallotspindle_entry/forwarding.py
@@ -7,9 +7,10 @@
 """
 
 import asyncio
+import itertools
+import sys
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager
-from functools import partial
 from typing import Any
 
 import aiohttp
@@ -17,10 +18,14 @@
 from aiomisc import Service
 
 from shallotspindle_bundles.records import Upstream
+from shallotspindle_entry.answers import AnswerLimits
 from shallotspindle_entry.upstream_connections import WatchedHandler
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-READ_BUFFER_BYTES = 64 * 1024
+# Also sets how many chunks are parsed at once: 1,024, or 2 ms of processor time.
+READ_BUFFER_BYTES = 16 * 1024
+# Bodies are streamed and may have no end; only heads and framing are bounded.
+LIMITS = AnswerLimits(body_bytes=sys.maxsize, framing_part=16.0, room_bytes=sys.maxsize)
 
 
 class CheckedConnector(aiohttp.TCPConnector):
@@ -28,8 +33,17 @@
 
     def __init__(self, **params: Any) -> None:
         super().__init__(**params)
+        self._numbers = itertools.count()
+        self._factory = self._build_handler
+
+    def _build_handler(self) -> WatchedHandler:
+        """Return the protocol of a new connection."""
         loop = asyncio.get_running_loop()
-        self._factory = partial(WatchedHandler, loop=loop)
+        return WatchedHandler(loop, LIMITS, next(self._numbers), self._hold)
+
+    @staticmethod
+    def _hold(handler: WatchedHandler, size: int) -> None:
+        """Ignore what a connection holds: the buffer of a stream is bounded."""
 
     async def _get(self, key: Any, traces: list[Any]) -> Connection | None:
         while (found := await super()._get(key, traces)) is not None:
--- a/libraries/entry/shallotspindle_entry/forwarding_test.py
+++ b/libraries/entry/shallotspindle_entry/forwarding_test.py
@@ -5,12 +5,39 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"Content-Length: 5\r\n\r\nwhole"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+SHED = b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\n"
 PIECE_BYTES = 64 * 1024
 # A caller waits for less than the time of the route, 600 s, and for more than any run.
 WAIT_SECONDS = 20.0
 # What two sockets and two event loops may take on loopback.
 SOCKET_BYTES = 16 * 1024 * 1024
 
+# Name, start, and what follows without end.
+HEADS = (
+    ("garbage", b"", b"\x00\xffgarbage"),
+    ("status-line", OK[:-2], b"K"),
+    ("header-line", OK + b"Name: ", b"v"),
+    ("headers", OK, b"Name: " + b"v" * 8000 + b"\r\n"),
+    ("empty-lines", b"", b"\r\n"),
+    ("continue", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+)
+FRAMINGS = (
+    ("chunk-extension", CHUNKED + b"4;", b"e"),
+    ("chunk-size", CHUNKED, b"0"),
+    ("trailers", CHUNKED + b"4\r\nabcd\r\n0\r\n", b"T: v\r\n"),
+    ("trailer-line", CHUNKED + b"4\r\nabcd\r\n0\r\nT: ", b"v"),
+    ("bad-chunk", CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n"),
+)
+SHED_BODIES = (
+    ("stated-length", SHED + b"Content-Length: 99999999999999\r\n\r\n", b"x"),
+    ("chunks", SHED + b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nabcd\r\n"),
+)
+
+
+def name(shapes):
+    """Return the parameters of a test with the names of the shapes."""
+    return [pytest.param(start, unit, id=label) for label, start, unit in shapes]
+
 
 class Endless:
     """Script that sends without end until its peer closes.
@@ -47,6 +74,11 @@
                 await asyncio.sleep(0.01)
 
 
+async def get(edge):
+    async with asyncio.timeout(WAIT_SECONDS):
+        return await edge.get()
+
+
 async def post(edge, body=b"x", path="/deposits", key="Idempotency-Key: k1\r\n"):
     head = (
         f"POST {path} HTTP/1.1\r\nHost: shop.test\r\nConnection: close\r\n"
@@ -57,7 +89,55 @@
         return await edge.send(head.encode() + body)
 
 
+class TestEndlessAnswers:
+    @pytest.mark.parametrize(("start", "unit"), name(HEADS))
+    async def test_a_head_without_end_is_broken_off(self, edge, start, unit):
+        # Guards against a caller that waits until the deadline for a head that never
+        # ends, and against a deposit that is taken twice.
+        endless = Endless(edge, start, unit)
+        edge.upstream.scripts = [endless]
+        assert (await post(edge)).startswith(b"HTTP/1.1 502")
+        assert edge.upstream.connections == 1
+        await endless.await_closed()
+        assert endless.sent <= SOCKET_BYTES
+
+    @pytest.mark.parametrize(("start", "unit"), name(HEADS))
+    async def test_a_read_gets_the_answer_of_another_upstream(self, edge, start, unit):
+        endless = Endless(edge, start, unit)
+        edge.upstream.scripts = [endless, edge.upstream.answer(WHOLE)]
+        assert (await get(edge)).endswith(b"whole")
+
+    @pytest.mark.parametrize(("start", "unit"), name(FRAMINGS))
+    async def test_framing_without_end_aborts_the_caller(self, edge, start, unit):
+        # Guards against a caller that waits until the deadline for the rest of an
+        # answer whose next bytes are no answer, and against an answer that looks whole.
+        endless = Endless(edge, start, unit)
+        edge.upstream.scripts = [endless]
+        answer = await post(edge)
+        assert not answer.endswith(b"0\r\n\r\n")
+        await endless.await_closed()
+        assert endless.sent <= SOCKET_BYTES
+
+    @pytest.mark.parametrize(("start", "unit"), name(SHED_BODIES))
+    async def test_a_shed_answer_without_end_is_dropped(self, edge, start, unit):
+        # Guards against an instance whose memory is filled by an answer that no caller
+        # gets.
+        endless = Endless(edge, start, unit)
+        edge.upstream.scripts = [endless, edge.upstream.answer(WHOLE)]
+        assert (await post(edge)).endswith(b"whole")
+        await endless.await_closed()
+        assert endless.sent <= SOCKET_BYTES
+
+
 class TestKeptConnections:
+    async def test_each_answer_has_the_whole_limit(self, edge):
+        # Guards against a limit that adds up over the answers of a connection.
+        answer = OK + b"Name: " + b"v" * 8000 + b"\r\nContent-Length: 5\r\n\r\nwhole"
+        edge.upstream.scripts = [edge.upstream.answer(*[answer] * 20)]
+        for _ in range(20):
+            assert (await get(edge)).endswith(b"whole")
+        assert edge.upstream.connections == 1
+
     @pytest.mark.parametrize("rest", [b"\x00\xffgarbage", WHOLE, b"x"])
     async def test_bytes_behind_a_whole_answer_are_dropped(self, edge, rest):
         # Guards against a whole answer that is lost with the bytes behind it.
@@ -75,20 +155,3 @@
         await post(edge, b"x" * 8 * 1024 * 1024, "/open", "")
         assert edge.upstream.connections == 1
         await endless.await_closed()
-
-
-class TestRefusedBodies:
-    @pytest.mark.parametrize(
-        ("start", "unit"),
-        [
-            (CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n"),
-            (CHUNKED + b"4\r\nabcd\r\n0\r\nT: ", b"v"),
-        ],
-    )
-    async def test_a_body_that_is_no_body_aborts_the_caller(self, edge, start, unit):
-        # Guards against a caller that waits until the deadline for the rest of an
-        # answer whose next bytes are no answer, and against an answer that looks whole.
-        endless = Endless(edge, start, unit)
-        edge.upstream.scripts = [endless]
-        assert not (await post(edge)).endswith(b"0\r\n\r\n")
-        await endless.await_closed()
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -18,6 +18,7 @@
     TeamName,
     UpstreamName,
 )
+from shallotspindle_entry.answers import DEFAULT_LIMITS, AnswerLimits
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import Conflict, StoreFailure
 from shallotspindle_gateway.daemon import Daemon
@@ -247,7 +248,12 @@
         self.upstreams[upstream.name] = upstream
         return upstream
 
-    async def add_gateway(self, domain: str = "a", bounds: Bounds = BOUNDS) -> Daemon:
+    async def add_gateway(
+        self,
+        domain: str = "a",
+        bounds: Bounds = BOUNDS,
+        answers: AnswerLimits = DEFAULT_LIMITS,
+    ) -> Daemon:
         local = Endpoint("127.0.0.1", 0)
         settings = Settings(
             f"gateway-{len(self.daemons)}",
@@ -257,6 +263,7 @@
             local,
             local,
             bounds=bounds,
+            answers=answers,
         )
         daemon = Daemon(settings, self.store, Documents(), SystemClock())
         self.daemons.append(daemon)
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -93,7 +93,7 @@
         )
         borrower = Borrower(own, self.follower, self.peers, clock, source)
         names = settings.headers
-        forwarder = Forwarder(names.request_id, names.not_run, clock)
+        forwarder = Forwarder(names.request_id, names.not_run, clock, settings.answers)
         self._admission = Admission(
             self.follower, self.rights, self.peers, clock, settings.bounds
         )
--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_entry.answers import Fault
 from shallotspindle_gateway.borrowing import Borrowed, Borrower, Want
 from shallotspindle_gateway.forwarding import Answer, Attempt, Forwarder, Order
 from shallotspindle_lending.records import Outcome, Reason, SlotRefused
@@ -39,11 +40,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Sent:
-    """One send for the log."""
+    """One send for the log.
+
+    :param fault: why the answer was not taken to its end.
+    """
 
     upstream: str
     outcome: Outcome
     seconds: float
+    fault: Fault | None = None
 
 
 @dataclass(slots=True)
@@ -175,7 +180,9 @@
         if attempt.outcome is not Outcome.NOT_CONNECTED:
             run.arrivals += 1
         seconds = attempt.seconds
-        run.sends.append(Sent(flight.slot.upstream, attempt.outcome, seconds))
+        run.sends.append(
+            Sent(flight.slot.upstream, attempt.outcome, seconds, attempt.fault)
+        )
         self._borrower.give_back(run.want, flight.slot, attempt.outcome, seconds)
 
     def _cancel(self, run: Run, flight: Flight) -> None:
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -6,9 +6,9 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
-from functools import partial
 from typing import Any
 
 import aiohttp
@@ -16,11 +16,18 @@
 from multidict import CIMultiDict
 
 from shallotspindle_core.clock import Clock
-from shallotspindle_entry.upstream_connections import WatchedHandler
+from shallotspindle_entry.answers import AnswerLimits, Fault, Room
+from shallotspindle_entry.upstream_connections import (
+    BrokenOffError,
+    WatchedHandler,
+    find_fault,
+)
 from shallotspindle_lending.records import Outcome
 
 CONNECT_SECONDS = 0.08
-READ_BUFFER_BYTES = 256 * 1024
+# Also sets how many chunks are parsed at once: 256, or 0.5 ms of processor time.
+READ_BUFFER_BYTES = 4 * 1024
+SWITCHING_PROTOCOLS = 101
 MISDIRECTED = 421
 TOO_MANY = 429
 SERVER_ERROR = 500
@@ -46,12 +53,14 @@
     :param answer: the whole answer, if there is one for this request.
     :param not_run: whether the upstream certainly did not run the request.
     :param seconds: time from the send to the end.
+    :param fault: why the answer was not taken to its end.
     """
 
     outcome: Outcome
     answer: Answer | None = None
     not_run: bool = False
     seconds: float = 0.0
+    fault: Fault | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,17 +88,25 @@
     """
 
     def __init__(
-        self, request_id: str, not_run: str, clock: Clock, **kwargs: Any
+        self,
+        request_id: str,
+        not_run: str,
+        clock: Clock,
+        limits: AnswerLimits,
+        **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._request_id = request_id
         self._not_run = not_run
         self._clock = clock
+        self._limits = limits
+        self.room = Room(limits.room_bytes)
+        self._handlers: dict[int, WatchedHandler] = {}
+        self._numbers = itertools.count()
 
     async def start(self) -> None:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        loop = asyncio.get_running_loop()
-        connector._factory = partial(WatchedHandler, loop=loop)
+        connector._factory = self._build_handler
         self._session = aiohttp.ClientSession(
             auto_decompress=False,
             connector=connector,
@@ -108,16 +125,37 @@
     async def stop(self, exception: Exception | None = None) -> None:
         await self._session.close()
 
+    def _build_handler(self) -> WatchedHandler:
+        """Return the protocol of a new connection."""
+        loop = asyncio.get_running_loop()
+        return WatchedHandler(loop, self._limits, next(self._numbers), self._hold)
+
+    def _hold(self, handler: WatchedHandler, size: int) -> None:
+        """Note what a connection holds; break off an answer if that is too much."""
+        if not size:
+            self.room.leave(handler.number)
+            self._handlers.pop(handler.number, None)
+            return
+        self._handlers[handler.number] = handler
+        largest = self.room.hold(handler.number, size)
+        if largest is not None:
+            self.room.leave(largest)
+            self._handlers.pop(largest).break_off(Fault.NO_ROOM)
+
     async def send(self, order: Order) -> Attempt:
         """Send a request and return when its answer is whole or has failed."""
         started = self._clock.boottime()
+        fault = None
         try:
             outcome, answer, not_run = await self._exchange(order)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             outcome, answer = classify(error), None
             not_run = outcome is Outcome.NOT_CONNECTED
+            fault = find_fault(error)
+            # Its frames hold the answer; see _read.
+            error.__traceback__ = None
         seconds = self._clock.boottime() - started
-        return Attempt(outcome, answer, not_run, seconds)
+        return Attempt(outcome, answer, not_run, seconds, fault)
 
     async def _exchange(self, order: Order) -> tuple[Outcome, Answer | None, bool]:
         async with self._session.request(
@@ -132,11 +170,33 @@
         ) as response:
             connection = response.connection
             protocol = connection.protocol if connection is not None else None
-            body = await response.read()
+            body = await self._read(response)
             if protocol is not None and protocol.was_reset and is_unframed(response):
                 return Outcome.TRUNCATED, None, False
             return self._judge(order, response, body)
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the whole body."""
+        if response.status == SWITCHING_PROTOCOLS:
+            # Nobody asked for it, and no answer follows.
+            raise BrokenOffError(Fault.MALFORMED)
+        stated = response.content_length or 0
+        if stated > self._limits.body_bytes and not response.content.at_eof():
+            raise BrokenOffError(Fault.BODY_TOO_LONG)
+        parts = []
+        try:
+            async for part in response.content.iter_any():
+                parts.append(part)
+                if not response.content.at_eof():
+                    # The stream gives what it has without a pause; other requests go
+                    # between.
+                    await asyncio.sleep(0)
+            return b"".join(parts)
+        finally:
+            # The stream refers to its exception and the exception to this frame, so
+            # that the parts would stay until the next garbage collection.
+            parts.clear()
+
     def _judge(
         self, order: Order, response: aiohttp.ClientResponse, body: bytes
     ) -> tuple[Outcome, Answer | None, bool]:
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -6,12 +7,15 @@
 import pytest
 import pytest_asyncio
 
+from shallotspindle_entry.answers import AnswerLimits, Fault
 from shallotspindle_environment.clock import SystemClock
+from shallotspindle_gateway import forwarding, rights
 from shallotspindle_gateway.conftest import NAMES
 from shallotspindle_gateway.forwarding import Forwarder, Order
 from shallotspindle_lending.records import Outcome
 
 MEBIBYTE = 1024 * 1024
+LIMITS = AnswerLimits(body_bytes=MEBIBYTE, room_bytes=4 * MEBIBYTE)
 # What two sockets and two event loops may take beyond the limit on loopback.
 SOCKET_BYTES = 16 * MEBIBYTE
 # Longer than any run; the answers must end by their limits and not by their time.
@@ -21,6 +25,35 @@
 WHOLE = OK + b"Content-Length: 5\r\n\r\nwhole"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
+# Name, start, what follows without end, and the fault.
+SHAPES = (
+    ("garbage", b"", b"\x00\xffgarbage", Fault.MALFORMED),
+    ("status-line", OK[:-2], b"K", Fault.MALFORMED),
+    ("header-line", OK + b"Name: ", b"v", Fault.MALFORMED),
+    ("header-name", OK, b"n", Fault.MALFORMED),
+    ("few-headers", OK, b"Name: " + b"v" * 8000 + b"\r\n", Fault.HEAD_TOO_LONG),
+    ("empty-headers", OK, b"N:\r\n", Fault.MALFORMED),
+    ("empty-lines", b"", b"\r\n", Fault.HEAD_TOO_LONG),
+    ("continue", b"", b"HTTP/1.1 100 Continue\r\n\r\n", Fault.HEAD_TOO_LONG),
+    ("early-hints", b"", b"HTTP/1.1 103 E\r\nA: b\r\n\r\n", Fault.HEAD_TOO_LONG),
+    (
+        "stated-length",
+        OK + b"Content-Length: 99999999999999\r\n\r\n",
+        b"x",
+        Fault.BODY_TOO_LONG,
+    ),
+    ("chunks", CHUNKED, b"10\r\n0123456789abcdef\r\n", Fault.BODY_TOO_LONG),
+    ("small-chunks", CHUNKED, b"4\r\nabcd\r\n", Fault.FRAMING_TOO_LONG),
+    ("one-chunk", CHUNKED + b"fffffffffff\r\n", b"x", Fault.BODY_TOO_LONG),
+    ("chunk-extension", CHUNKED + b"4;", b"e", Fault.FRAMING_TOO_LONG),
+    ("extensions", CHUNKED, b"1;" + b"e" * 500 + b"\r\na\r\n", Fault.FRAMING_TOO_LONG),
+    ("chunk-size", CHUNKED, b"0", Fault.FRAMING_TOO_LONG),
+    ("trailers", CHUNKED + b"0\r\n", b"T: v\r\n", Fault.MALFORMED),
+    ("trailer-line", CHUNKED + b"0\r\nT: ", b"v", Fault.MALFORMED),
+    ("bad-chunk", CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n", Fault.MALFORMED),
+    ("no-length", OK + b"\r\n", b"x", Fault.BODY_TOO_LONG),
+    ("other-protocol", b"HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\n", b"x", Fault.MALFORMED),
+)
 # What follows a whole answer.
 RESTS = (
     (WHOLE, b"\x00\xffgarbage"),
@@ -82,6 +115,11 @@
         host, port = listener.getsockname()
         return f"{host}:{port}"
 
+    async def announce(self, fleet, upstream: EndlessUpstream, name: str) -> None:
+        """Enter a new upstream in the store of a fleet."""
+        value = json.dumps([await self.add(upstream), "a"]).encode()
+        fleet.store.put(f"upstreams/{name}", value)
+
     def close(self) -> None:
         for server in self._servers:
             server.close()
@@ -96,7 +134,7 @@
 
 @pytest_asyncio.fixture
 async def forwarder() -> AsyncIterator[Forwarder]:
-    found = Forwarder(NAMES.request_id, NAMES.not_run, SystemClock())
+    found = Forwarder(NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS)
     await found.start()
     yield found
     await found.stop()
@@ -113,24 +151,26 @@
             await asyncio.sleep(0.01)
 
 
-class TestUnreadRequests:
+class TestEndlessAnswers:
     @pytest.mark.parametrize(
-        ("start", "unit"),
-        [(b"", b"\x00\xffgarbage"), (WHOLE, b"x")],
+        ("start", "unit", "fault"),
+        [shape[1:] for shape in SHAPES],
+        ids=[shape[0] for shape in SHAPES],
     )
-    async def test_an_upstream_that_does_not_read_is_cut_off(
-        self, forwarder, upstreams, start, unit
+    async def test_an_answer_without_end_is_broken_off(
+        self, forwarder, upstreams, start, unit, fault
     ):
-        # Guards against a connection that stays open because a part of the request
-        # was never read: a close waits for it.
-        upstream = EndlessUpstream(start, unit, reads=False)
+        # Guards against an upstream that fills the memory of an instance, or that
+        # holds a request until its time is over.
+        upstream = EndlessUpstream(start, unit)
         address = await upstreams.add(upstream)
-        await forwarder.send(order(address, "POST", b"x" * 32 * MEBIBYTE))
+        attempt = await forwarder.send(order(address))
+        assert (attempt.outcome, attempt.answer) == (Outcome.TRUNCATED, None)
+        assert not attempt.not_run
+        assert attempt.fault is fault
         await await_closed(upstream)
-        assert upstream.sent <= SOCKET_BYTES
-
+        assert upstream.sent <= LIMITS.body_bytes + SOCKET_BYTES
 
-class TestWholeAnswers:
     @pytest.mark.parametrize(("start", "unit"), RESTS)
     async def test_bytes_behind_a_whole_answer_are_dropped(
         self, forwarder, upstreams, start, unit
@@ -145,6 +185,45 @@
         await await_closed(upstream)
         assert upstream.sent <= SOCKET_BYTES
 
+    @pytest.mark.parametrize(
+        ("start", "unit"),
+        [
+            (b"", b"\x00\xffgarbage"),
+            (b"", b"\r\n"),
+            (OK + b"\r\n", b"x"),
+            (WHOLE, b"x"),
+        ],
+    )
+    async def test_an_upstream_that_does_not_read_is_cut_off(
+        self, forwarder, upstreams, start, unit
+    ):
+        # Guards against a connection that stays open because a part of the request
+        # was never read: a close waits for it.
+        upstream = EndlessUpstream(start, unit, reads=False)
+        address = await upstreams.add(upstream)
+        await forwarder.send(order(address, "POST", b"x" * 32 * MEBIBYTE))
+        await await_closed(upstream)
+        assert upstream.sent <= LIMITS.body_bytes + SOCKET_BYTES
+
+    @pytest.mark.parametrize("size", [0, 1, 100_000, MEBIBYTE])
+    async def test_an_answer_within_the_limits_is_taken(
+        self, forwarder, upstreams, size
+    ):
+        # Guards against limits that break off proper answers.
+        head = OK + f"Content-Length: {size}\r\n\r\n".encode()
+        address = await upstreams.add(EndlessUpstream(head + b"x" * size, b"y"))
+        attempt = await forwarder.send(order(address))
+        assert attempt.outcome is Outcome.WHOLE
+        assert attempt.answer.body == b"x" * size
+
+    async def test_an_answer_in_chunks_of_one_byte_is_taken(self, forwarder, upstreams):
+        # Guards against a limit on framing that breaks off proper answers.
+        body = b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
+        address = await upstreams.add(EndlessUpstream(CHUNKED + body, b"y"))
+        attempt = await forwarder.send(order(address))
+        assert attempt.outcome is Outcome.WHOLE
+        assert attempt.answer.body == b"x" * 20_000
+
     @pytest.mark.parametrize("size", [100, 3000, 200_000])
     async def test_a_long_answer_in_chunks_is_taken_to_its_end(
         self, forwarder, upstreams, size
@@ -181,23 +260,110 @@
         assert attempt.outcome is Outcome.WHOLE
         assert attempt.answer.body == b"whole"
 
+    async def test_a_head_request_may_state_any_length(self, forwarder, upstreams):
+        # Guards against a limit on a body that does not come.
+        start = OK + b"Content-Length: 99999999999999\r\n\r\n"
+        address = await upstreams.add(EndlessUpstream(start, b"x"))
+        attempt = await forwarder.send(order(address, "HEAD"))
+        assert attempt.outcome is Outcome.WHOLE
+
+
+class TestRoomOfAllAnswers:
+    async def test_many_endless_answers_share_one_room(self, upstreams):
+        # Guards against several answers that are each within the limit and together
+        # fill the memory of an instance.
+        limits = AnswerLimits(body_bytes=64 * MEBIBYTE, room_bytes=2 * MEBIBYTE)
+        forwarder = Forwarder(NAMES.request_id, NAMES.not_run, SystemClock(), limits)
+        await forwarder.start()
+        upstream = EndlessUpstream(OK + b"\r\n", b"x")
+        address = await upstreams.add(upstream)
+        attempts = await asyncio.gather(
+            *(forwarder.send(order(address)) for _ in range(8))
+        )
+        assert {attempt.outcome for attempt in attempts} == {Outcome.TRUNCATED}
+        assert Fault.NO_ROOM in {attempt.fault for attempt in attempts}
+        await await_closed(upstream)
+        assert forwarder.room.used == 0
+        await forwarder.stop()
+
+    async def test_the_room_is_free_again_after_each_end(self, forwarder, upstreams):
+        # Guards against a count that drifts until sound answers are broken off.
+        shapes = [(WHOLE, b"x"), (b"", b"\r\n"), (OK + b"\r\n", b"x"), (CHUNKED, b"0")]
+        for start, unit in shapes:
+            upstream = EndlessUpstream(start, unit)
+            address = await upstreams.add(upstream)
+            await forwarder.send(order(address))
+            await await_closed(upstream)
+        sending = asyncio.create_task(
+            forwarder.send(order(await upstreams.add(EndlessUpstream(OK, b"a"))))
+        )
+        await asyncio.sleep(0)
+        sending.cancel()
+        await asyncio.wait([sending])
+        async with asyncio.timeout(10):
+            while forwarder.room.used:
+                await asyncio.sleep(0.01)
+
+
+class TestCallers:
+    @pytest.fixture(autouse=True)
+    def long_times(self, monkeypatch):
+        monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
+        # A connect on a busy machine took 0.12 s.
+        monkeypatch.setattr(forwarding, "CONNECT_SECONDS", 5.0)
+
+    @staticmethod
+    async def start(fleet):
+        daemon = await fleet.add_gateway(answers=LIMITS)
+        await fleet.await_true(
+            lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT
+        )
+        return daemon
 
-class TestRefusedBodies:
     @pytest.mark.parametrize(
         ("start", "unit"),
-        [
-            (CHUNKED + b"4\r\nabcd\r\n", b"zz\r\n"),
-            (CHUNKED + b"0\r\nT: ", b"v"),
-            (CHUNKED + b"0\r\n", b"T: v\r\n"),
-        ],
+        [shape[1:3] for shape in SHAPES],
+        ids=[shape[0] for shape in SHAPES],
     )
-    async def test_a_body_that_is_no_body_ends_the_answer(
-        self, forwarder, upstreams, start, unit
+    async def test_an_order_is_sent_once_and_answered(
+        self, fleet, upstreams, start, unit
     ):
-        # Guards against a request that waits until its time is over for the rest of
-        # an answer whose next bytes are no answer.
+        # Guards against an order that is taken twice, against a success that no
+        # upstream gave, and against a caller that waits until its time is over (504).
+        found = [EndlessUpstream(start, unit) for _ in range(2)]
+        for number, upstream in enumerate(found):
+            await upstreams.announce(fleet, upstream, f"e{number}")
+        daemon = await self.start(fleet)
+        status, _, body = await fleet.send(daemon, "/orders/1", method="POST")
+        assert status == 502
+        assert b"upstream-failed" in body
+        assert sum(upstream.opened for upstream in found) == 1
+
+    @pytest.mark.parametrize(
+        ("start", "unit"),
+        [shape[1:3] for shape in SHAPES],
+        ids=[shape[0] for shape in SHAPES],
+    )
+    async def test_a_read_gets_the_answer_of_another_upstream(
+        self, fleet, upstreams, start, unit
+    ):
+        # Guards against reads that are lost at such an upstream.
         upstream = EndlessUpstream(start, unit)
-        address = await upstreams.add(upstream)
-        attempt = await forwarder.send(order(address))
-        assert (attempt.outcome, attempt.answer) == (Outcome.TRUNCATED, None)
-        await await_closed(upstream)
+        await upstreams.announce(fleet, upstream, "e0")
+        await fleet.add_upstream()
+        daemon = await self.start(fleet)
+        for _ in range(4):
+            status, headers, body = await fleet.send(daemon)
+            assert (status, body) == (200, b"answer ")
+            assert headers[NAMES.signature] == "s"
+
+    async def test_the_log_names_the_fault(self, fleet, upstreams):
+        # Guards against an answer that was broken off and looks like any other that
+        # was cut.
+        lines = []
+        await upstreams.announce(fleet, EndlessUpstream(b"", b"\r\n"), "e0")
+        daemon = await self.start(fleet)
+        daemon._frontend._reporter._write = lines.append
+        await fleet.send(daemon, "/orders/1", method="POST")
+        ((upstream, outcome, _, fault),) = json.loads(lines[0])["sends"]
+        assert (upstream, outcome, fault) == ("e0", "truncated", "head-too-long")
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -4,6 +4,7 @@
 
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_core.identifiers import FailureDomain
+from shallotspindle_entry.answers import DEFAULT_LIMITS, AnswerLimits
 from shallotspindle_keys.directory import Directory
 from shallotspindle_routing.routes import Table
 
@@ -107,6 +108,7 @@
     :param metrics: address of the metrics.
     :param readiness_path: path of the readiness checks.
     :param capacity: capacity of the instance's link, in Mbit/s.
+    :param answers: what an upstream may send.
     """
 
     name: str
@@ -119,3 +121,4 @@
     capacity: float = 1000.0
     bounds: Bounds = Bounds()
     headers: HeaderNames = HeaderNames()
+    answers: AnswerLimits = DEFAULT_LIMITS
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -11,6 +11,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_gateway.execution import Sent
 from shallotspindle_gateway.following import Follower
 from shallotspindle_gateway.forwarding import Answer
 from shallotspindle_gateway.lines import LineBudget
@@ -21,6 +22,12 @@
 Write = Callable[[str], object]
 
 
+def describe_send(sent: Sent) -> list[str | float]:
+    """Return what the log says of a send; a fault of the answer comes last."""
+    described = [sent.upstream, sent.outcome.value, round(sent.seconds, 4)]
+    return described if sent.fault is None else [*described, sent.fault.value]
+
+
 class Reporter:
     """Writes a line and counts for each answer."""
 
@@ -82,10 +89,7 @@
             "no_slot": trace.no_slot,
             "version": trace.version,
             "confirmed_before": round(min(trace.age, 9999.0), 3),
-            "sends": [
-                [sent.upstream, sent.outcome.value, round(sent.seconds, 4)]
-                for sent in trace.sends
-            ],
+            "sends": [describe_send(sent) for sent in trace.sends],
         }
         try:
             self._write(json.dumps(line) + "\n")
