--- a/libraries/soak/shallotspindle_soak/regressions.py
+++ b/libraries/soak/shallotspindle_soak/regressions.py
@@ -79,4 +79,5 @@
     ),
     Regression(2250, "the check counted work of the last part of a stop"),
     Regression(2251, RATE),
+    Regression(2301, CUT_BODY),
 )
