Count in the soak what was both sent and run in a window of a rate

Why the check is wrong: the users count requests that are both sent and run in the window; the soak counted the runs alone, which no limiter in front of a queue can bound. Just as strict otherwise: overage of a tenth, no slack, every window. Test: a run that waited counts from its sending (failed before); seventeen runs for sixteen allowed still break.

--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -125,23 +125,37 @@
 def check_rates(history: History) -> Iterator[Broken]:
     """No team has more requests run than its limit in any window, over all gateways.
 
-    A request counts once, at its first run: its repeats are the fleet's own and are
-    bounded by the budget of repeats.
+    Those that were sent and run in the window count: a request that waits for a slot
+    in a crowded service runs later than it was admitted. A request counts once, at its
+    first run: its repeats are the fleet's own and are bounded by the budget of repeats.
     """
+    sent_at = {call.request_id: call.sent_at for call in history.calls}
     first: dict[str, Run] = {}
     for run in sorted(history.runs, key=lambda run: run.at):
         first.setdefault(run.request_id, run)
-    at: dict[str, list[float]] = defaultdict(list)
+    spans: dict[str, list[Span]] = defaultdict(list)
     for run in first.values():
-        at[run.team].append(run.at)
+        spans[run.team].append(Span(sent_at.get(run.request_id, run.at), run.at))
     for team, (rate, burst) in history.limits.items():
         allowed = (rate * WINDOW_SECONDS + burst) * (1 + OVERAGE_PART)
-        most = _find_most(at[team], WINDOW_SECONDS)
+        most = _find_most_within(spans[team], WINDOW_SECONDS)
         if most > allowed:
             detail = f"{team}: {most} requests in a window, {allowed:.0f} allowed"
             yield Broken("rate", "", detail)
 
 
+def _find_most_within(spans: list[Span], seconds: float) -> int:
+    """Return the largest number of spans that lie in any window of some length."""
+    starts = {span.start for span in spans}
+    return max(
+        (
+            sum(start <= s.start and s.end <= start + seconds for s in spans)
+            for start in starts
+        ),
+        default=0,
+    )
+
+
 def check_repeats(history: History) -> Iterator[Broken]:
     """Requests are sent once more within the budget only, over all gateways."""
     repeats = [
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -77,6 +77,13 @@
         history = build_run_calls(17, limits={"museum": (2.0, 5.0)})
         assert list_broken(history) == ["rate"]
 
+    def test_a_run_that_waited_counts_from_its_sending(self):
+        # Guards against a rate that looks exceeded since a crowded service ran two
+        # requests 0.8 and 1.2 s after they had been admitted.
+        history = build_run_calls(17, limits={"museum": (2.0, 5.0)})
+        history.calls[0] = replace(history.calls[0], sent_at=4.9)
+        assert list_broken(history) == []
+
     def test_a_repeated_read_counts_once_for_its_team(self):
         # Guards against a team charged for what the fleet sent once more: a kiosk with
         # seven requests, two of them repeated, was reported with nine runs.
