Take the other vacant rights when one was taken by another instance

Cause: an instance takes all vacant rights in one transaction. One that a neighbour had taken meanwhile makes it fail (log: a key was changed by somebody else), and the next try came after 1.2 s with the same view. Change: after a conflict each right is taken by itself, and what is left is tried again after 0.3 s. Cost: at most 16 writes after a conflict. Test: test_a_right_that_another_took_keeps_no_other_right_vacant failed before.

--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -361,6 +361,22 @@
         await asyncio.sleep(0.5)
         assert (await fleet.send(daemon))[0] in (200, 429)
 
+    async def test_a_right_that_another_took_keeps_no_other_right_vacant(
+        self, fleet, monkeypatch
+    ):
+        # Guards against refusals after a loss of power: one right that a neighbour had
+        # taken made every write of the others fail until the news of it came.
+        monkeypatch.setattr(rights, "SETTLING_SECONDS", 60.0)
+        await fleet.add_upstream()
+        daemon = await fleet.add_gateway()
+        fleet.store.is_quiet = True
+        fleet.store.put(rights.RIGHT_KEYS[0], b'["10.0.0.9:1", "other"]')
+        monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
+        await fleet.await_true(lambda: set(rights.RIGHT_KEYS) <= set(fleet.store.items))
+        held, _ = fleet.store.items[rights.RIGHT_KEYS[0]]
+        assert held.value == b'["10.0.0.9:1", "other"]'
+        assert daemon.is_ready()
+
     async def test_a_right_that_ended_before_it_was_heard_of_is_taken_again(
         self, fleet
     ):
--- a/libraries/gateway/shallotspindle_gateway/rights.py
+++ b/libraries/gateway/shallotspindle_gateway/rights.py
@@ -16,6 +16,7 @@
 from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import TeamName
+from shallotspindle_environment.interface import Conflict, StoreFailure
 from shallotspindle_gateway.election import rank_members
 from shallotspindle_gateway.following import MEMBER_PREFIX, RIGHT_PREFIX, Follower
 from shallotspindle_gateway.records import Member
@@ -140,8 +141,7 @@
             and not await self._renew()
         ):
             return RETRY_SECONDS
-        await self._take_vacant()
-        return RENEWAL_SECONDS
+        return RENEWAL_SECONDS if await self._take_vacant() else RETRY_SECONDS
 
     async def _join(self) -> bool:
         sent_at = self._clock.boottime()
@@ -229,17 +229,28 @@
             json.loads(item.value)[0] == self._own.address
         )
 
-    async def _take_vacant(self) -> None:
+    async def _take_vacant(self) -> bool:
+        """Take rights without a holder; return whether none is left to try again."""
         expected = self._list_vacant()
         if not expected or self._lease is None:
-            return
+            return True
+        written = await self._take(expected)
+        if written.is_ok() or not isinstance(written.error, Conflict):
+            return written.is_ok()
+        # Somebody else took one of them; the others are still without a holder.
+        single = [await self._take({key: at}) for key, at in expected.items()]
+        return all(written.is_ok() for written in single)
+
+    async def _take(self, expected: dict[str, int]) -> Result[int, StoreFailure]:
+        """Take rights that have certain revisions, all or none of them."""
         values = dict.fromkeys(expected, self._value)
         written = await self._store.create(values, expected, self._lease.number)
         if written.is_error():
             logging.warning("rights were not taken: %s", written.error)
-            return
+            return written
         now = self._clock.boottime()
         for key in expected:
             self._gained[key] = now
             self._written[key] = Stored(key, self._value, written.ok)
         logging.info("took %d rights", len(expected))
+        return written
