Leave the connections accepted last time to send

Cause, suspected: since the stop waits for connections it ends in the same step in which the listener closes, before the loop has read what was accepted last. Change: 0.05 s pass between the two, as before.

--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -26,6 +26,7 @@
 UNREAD_BYTES = 64 * 1024
 BACKLOG = 1024
 IDLE_CHECK_SECONDS = 0.02
+LAST_ACCEPT_SECONDS = 0.05
 
 
 def build_problem(is_malformed: bool) -> web.Response:
@@ -76,8 +77,12 @@
         return callers.accept(self._web, connection, build_problem)
 
     async def close_listener(self) -> None:
-        """Accept no more connections; those that are open stay."""
+        """Accept no more connections; those that are open stay.
+
+        What was accepted last has time to send a request and to have it read.
+        """
         self._server.close()
+        await asyncio.sleep(LAST_ACCEPT_SECONDS)
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in work."""
