--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -22,7 +23,7 @@
 from shallotspindle_entry.answers import DEFAULT_LIMITS, AnswerLimits
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import Conflict, StoreFailure
-from shallotspindle_gateway import forwarding
+from shallotspindle_gateway import forwarding, rights
 from shallotspindle_gateway.daemon import Daemon
 from shallotspindle_gateway.records import (
     Bounds,
@@ -313,6 +314,69 @@
             await server.shutdown(0)
 
 
+async def start_gateway(fleet, *modes, bounds=BOUNDS):
+    """Start upstreams and one gateway that holds all rights."""
+    for mode in modes:
+        await fleet.add_upstream(mode)
+    daemon = await fleet.add_gateway(bounds=bounds)
+    await fleet.await_true(lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT)
+    return daemon
+
+
+class RawCaller:
+    """Caller that writes and reads at its own pace."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def connect(cls, daemon, receive_bytes=65536):
+        made = socket.socket()
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        made.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(made, ("127.0.0.1", daemon.callers_port))
+        return cls(*await asyncio.open_connection(sock=made, limit=receive_bytes))
+
+    def write(self, data):
+        self._writer.write(data)
+
+    async def read_head(self):
+        """Return the next header lines."""
+        return await self._reader.readuntil(b"\r\n\r\n")
+
+    async def read(self):
+        """Return all bytes until the connection ends."""
+        try:
+            return await self._reader.read()
+        finally:
+            self._writer.close()
+
+
+def build_order(body, *further):
+    """Return the bytes of a request with an effect.
+
+    :param further: more header lines.
+    """
+    lines = (
+        "POST /orders/1 HTTP/1.1",
+        "Host: soak.example",
+        f"{NAMES.request_id}: raw",
+        f"{NAMES.deadline}: 5000",
+        f"Authorization: {NAMES.key_scheme} k1",
+        f"Content-Length: {len(body)}",
+        *further,
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@pytest.fixture
+def no_settling(monkeypatch):
+    monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
+    monkeypatch.setattr(rights, "RENEWAL_SECONDS", 0.1)
+
+
 @pytest.fixture(autouse=True)
 def patient_connects(monkeypatch):
     """Let no test depend on how soon a busy machine accepts a connection."""
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -1,7 +1,5 @@
 import asyncio
-import json
 import signal
-import socket
 from dataclasses import replace
 
 import pytest
@@ -12,14 +10,17 @@
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import borrowing, following, rights
 from shallotspindle_gateway.conftest import (
-    BOUNDS,
-    LARGE_BYTES,
     NAMES,
     SERVICE,
     MemoryStore,
+    RawCaller,
+    build_order,
+    start_gateway,
 )
 from shallotspindle_gateway.records import Bounds
 
+pytestmark = pytest.mark.usefixtures("no_settling")
+
 
 class AwayStore(MemoryStore):
     """Store whose calls get no answer."""
@@ -45,72 +46,9 @@
         return await self.follow(0, 1.0)
 
 
-@pytest.fixture(autouse=True)
-def no_settling(monkeypatch):
-    monkeypatch.setattr(rights, "SETTLING_SECONDS", 0.0)
-    monkeypatch.setattr(rights, "RENEWAL_SECONDS", 0.1)
-
-
-async def start(fleet, *modes, bounds=BOUNDS):
-    """Start upstreams and one gateway that holds all rights."""
-    for mode in modes:
-        await fleet.add_upstream(mode)
-    daemon = await fleet.add_gateway(bounds=bounds)
-    await fleet.await_true(lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT)
-    return daemon
-
-
-class RawCaller:
-    """Caller that writes and reads at its own pace."""
-
-    def __init__(self, reader, writer):
-        self._reader = reader
-        self._writer = writer
-
-    @classmethod
-    async def connect(cls, daemon, receive_bytes=65536):
-        made = socket.socket()
-        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-        made.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(made, ("127.0.0.1", daemon.callers_port))
-        return cls(*await asyncio.open_connection(sock=made, limit=receive_bytes))
-
-    def write(self, data):
-        self._writer.write(data)
-
-    async def read_head(self):
-        """Return the next header lines."""
-        return await self._reader.readuntil(b"\r\n\r\n")
-
-    async def read(self):
-        """Return all bytes until the connection ends."""
-        try:
-            return await self._reader.read()
-        finally:
-            self._writer.close()
-
-
-def build_order(body, *further):
-    """Return the bytes of a request with an effect.
-
-    :param further: more header lines.
-    """
-    lines = (
-        "POST /orders/1 HTTP/1.1",
-        "Host: soak.example",
-        f"{NAMES.request_id}: raw",
-        f"{NAMES.deadline}: 5000",
-        f"Authorization: {NAMES.key_scheme} k1",
-        f"Content-Length: {len(body)}",
-        *further,
-    )
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 class TestAnswers:
     async def test_a_whole_answer_comes_back_unchanged(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         status, headers, body = await fleet.send(
             daemon, "/orders/1", method="POST", body=b"x" * 100_000
         )
@@ -119,7 +57,7 @@
 
     async def test_a_body_that_waits_for_100_continue_is_asked_for(self, fleet):
         # Guards against uploads that their callers hold back.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         caller = await RawCaller.connect(daemon)
         lines = ("Expect: 100-continue", "Connection: close")
         sent = build_order(b"scan", *lines)
@@ -133,7 +71,7 @@
 
     async def test_an_upstream_sees_the_team_and_never_the_key(self, fleet):
         # Guards against a key that leaks, and against a team that the caller chose.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         await fleet.send(daemon)
         (request,) = fleet.upstreams["u0"].seen
         assert request.headers[NAMES.team] == "museum"
@@ -144,13 +82,13 @@
     @pytest.mark.parametrize("mode", ["cut", "crossed", "reset"])
     async def test_a_broken_answer_is_never_given(self, fleet, mode):
         # Guards against half an answer, or that of another request, as a success.
-        daemon = await start(fleet, mode)
+        daemon = await start_gateway(fleet, mode)
         status, _, body = await fleet.send(daemon, "/orders/1", method="POST")
         assert status == 502
         assert not body.startswith((b"answer ", b"half"))
 
     async def test_an_unknown_route_and_an_unknown_key_are_refused(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         assert (await fleet.send(daemon, "/nowhere/"))[0] == 404
         assert (await fleet.send(daemon, "/reads"))[0] == 404
         assert (await fleet.send(daemon, key="k9"))[0] == 401
@@ -161,25 +99,25 @@
     @pytest.mark.parametrize("mode", ["hang", "cut", "reset", "error"])
     async def test_a_read_is_sent_again(self, fleet, mode):
         # Guards against reads that are lost at a gray upstream.
-        daemon = await start(fleet, mode, "whole")
+        daemon = await start_gateway(fleet, mode, "whole")
         for _ in range(4):
             assert (await fleet.send(daemon))[0] == 200
 
     @pytest.mark.parametrize("mode", ["cut", "reset", "crossed"])
     async def test_an_order_that_may_have_run_is_not_sent_again(self, fleet, mode):
         # Guards against a deposit that is taken twice.
-        daemon = await start(fleet, mode, mode)
+        daemon = await start_gateway(fleet, mode, mode)
         status, _, _ = await fleet.send(daemon, "/orders/1", method="POST")
         assert status == 502
         assert sum(len(item.runs) for item in fleet.upstreams.values()) == 1
 
     async def test_an_order_that_was_shed_is_sent_elsewhere(self, fleet):
-        daemon = await start(fleet, "shed", "whole")
+        daemon = await start_gateway(fleet, "shed", "whole")
         for _ in range(4):
             assert (await fleet.send(daemon, "/orders/1", method="POST"))[0] == 200
 
     async def test_an_order_that_nobody_ran_is_refused_as_not_run(self, fleet):
-        daemon = await start(fleet, "shed")
+        daemon = await start_gateway(fleet, "shed")
         status, headers, _ = await fleet.send(daemon, "/orders/1", method="POST")
         assert status == 503
         assert float(headers["Retry-After"]) > 0
@@ -187,7 +125,7 @@
 
     async def test_a_caller_that_leaves_ends_its_read_at_the_upstream(self, fleet):
         # Guards against upstreams that work for callers that are gone.
-        daemon = await start(fleet, "hang")
+        daemon = await start_gateway(fleet, "hang")
         upstream = fleet.upstreams["u0"]
         sending = asyncio.create_task(fleet.send(daemon))
         await fleet.await_true(lambda: upstream.runs)
@@ -196,7 +134,7 @@
 
     async def test_an_order_that_waits_is_dropped_when_its_caller_leaves(self, fleet):
         # Guards against work that begins after its caller has gone.
-        daemon = await start(fleet, "hang")
+        daemon = await start_gateway(fleet, "hang")
         upstream = fleet.upstreams["u0"]
         first = [
             asyncio.create_task(fleet.send(daemon, "/orders/1", method="POST"))
@@ -213,7 +151,7 @@
     async def test_a_long_body_goes_out_whole_or_not_at_all(self, fleet):
         # Guards against an order that runs with the end of its body only: the rest of
         # a long one was read for an upstream that shed it.
-        daemon = await start(fleet, "shed", "whole", "shed")
+        daemon = await start_gateway(fleet, "shed", "whole", "shed")
         body = bytes(3 * 1024 * 1024)
         for _ in range(8):
             status, _, _ = await fleet.send(
@@ -227,7 +165,7 @@
 
 class TestKeys:
     async def test_a_withdrawn_key_stops_working(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         assert (await fleet.send(daemon))[0] == 200
         fleet.configure(version=2, keys=("k2",))
         await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 2)
@@ -245,7 +183,7 @@
         assert "Retry-After" in headers
 
     async def test_an_older_configuration_never_comes_back(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         fleet.configure(version=5)
         await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 5)
         fleet.configure(version=4, keys=())
@@ -294,7 +232,7 @@
     async def test_a_change_that_the_watch_missed_is_found(self, fleet, monkeypatch):
         # Guards against a watch that goes on behind changes which it never told.
         monkeypatch.setattr(following, "REREAD_SECONDS", 0.5)
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         fleet.configure(version=2)
         fleet.store.events.clear()
         await fleet.await_true(lambda: daemon.follower.deployment.bundle.version == 2)
@@ -304,7 +242,7 @@
     async def test_an_outage_of_one_instance_keeps_no_upstream_that_left(self, fleet):
         # Guards against work for an upstream that left while the store refused one
         # instance only: its neighbours confirmed the store all the while.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         follower, clock = daemon.follower, SystemClock()
         follower.store = RefusingStore()
         for _ in range(25):
@@ -319,7 +257,7 @@
     async def test_an_outage_for_all_keeps_entries_that_lapsed(self, fleet):
         # Guards against upstreams that are lost because they could not announce
         # themselves while the store was away.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         fleet.store.is_away = True
         await asyncio.sleep(2.8)
         fleet.store.remove("upstreams/u0")
@@ -334,7 +272,7 @@
     async def test_the_rate_holds_over_all_gateways(self, fleet):
         # Guards against instances that each give the whole rate.
         fleet.configure(version=2, rate=3.0)
-        first = await start(fleet, "whole")
+        first = await start_gateway(fleet, "whole")
         second = await fleet.add_gateway(domain="b")
         await fleet.await_true(lambda: len(second.follower.members) == 2)
         started = asyncio.get_running_loop().time()
@@ -350,7 +288,7 @@
     async def test_a_holder_without_its_lease_gives_no_token(self, fleet, monkeypatch):
         # Guards against two holders of one rate after a lease has ended.
         monkeypatch.setattr(rights, "LEASE_SECONDS", 0.5)
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         assert (await fleet.send(daemon))[0] == 200
         fleet.store.is_away = True
         await asyncio.sleep(0.8)
@@ -399,7 +337,7 @@
         )
 
     async def test_a_lease_that_ended_at_the_store_gives_up_all_rights(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         for lease in tuple(fleet.store.leases):
             await fleet.store.end_lease(lease)
         await fleet.await_true(
@@ -414,7 +352,7 @@
     ):
         # Guards against teams without a rate while the store turns one instance away.
         monkeypatch.setattr(rights, "LEASE_SECONDS", 1.0)
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         await fleet.add_gateway()
         await fleet.await_true(lambda: len(daemon.follower.members) == 2)
         daemon.rights._store = RefusingStore()
@@ -427,7 +365,7 @@
     ):
         # Guards against a right that two instances act on.
         monkeypatch.setattr(rights, "LEASE_SECONDS", 0.6)
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         daemon.rights._store = RefusingStore()
         await asyncio.sleep(1.0)
         now = SystemClock().boottime()
@@ -438,7 +376,7 @@
     async def test_a_silent_lender_is_passed_over(self, fleet, monkeypatch):
         # Guards against requests that wait for a lender that was killed.
         monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         for number in range(4):
             value = f'["127.0.0.1:{number + 1}", "a", 1000.0]'.encode()
             fleet.store.put(f"members/dead-{number}", value)
@@ -452,7 +390,7 @@
         # Guards against an instance that is cut from its neighbours and goes on to
         # send orders to an upstream that answers all of them with an error.
         monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
-        daemon = await start(fleet, "error", "whole", "whole")
+        daemon = await start_gateway(fleet, "error", "whole", "whole")
         for number in range(6):
             value = f'["127.0.0.1:{number + 1}", "a", 1000.0]'.encode()
             fleet.store.put(f"members/dead-{number}", value)
@@ -472,7 +410,7 @@
     async def test_upstreams_of_a_domain_without_instances_get_work(self, fleet):
         # Guards against capacity that is lost with the instances beside it.
         far = [await fleet.add_upstream(domain="b") for _ in range(2)]
-        near = await start(fleet, "whole", "whole")
+        near = await start_gateway(fleet, "whole", "whole")
         for _ in range(30):
             assert (await fleet.send(near))[0] == 200
         assert all(upstream.runs for upstream in far)
@@ -484,7 +422,7 @@
         # beside them have ended.
         monkeypatch.setattr(borrowing, "ANSWER_SECONDS", 0.02)
         far = [await fleet.add_upstream(domain="b") for _ in range(2)]
-        near = await start(fleet, "whole")
+        near = await start_gateway(fleet, "whole")
         for number in range(8):
             value = f'["127.0.0.1:{number + 1}", "b", 1000.0]'.encode()
             fleet.store.put(f"members/dead-{number}", value)
@@ -496,144 +434,10 @@
         assert all(upstream.runs for upstream in far)
 
 
-class TestStop:
-    async def test_a_planned_stop_cuts_no_request(self, fleet):
-        # Guards against answers that are lost when an instance is replaced.
-        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
-        upstream = await fleet.add_upstream()
-        await fleet.await_true(lambda: daemon.follower.upstreams.version > 0)
-        await fleet.await_true(
-            lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT
-        )
-        stopping = asyncio.create_task(daemon.stop())
-        await fleet.await_true(lambda: not daemon.is_ready())
-        status, headers, _ = await fleet.send(daemon, "/reads/1")
-        assert status in (200, 503)
-        assert headers["Connection"] == "close"
-        await stopping
-        assert len(upstream.runs) <= 1
-
-    async def test_a_planned_stop_answers_what_still_waits(self, fleet):
-        # Guards against requests without an answer: an upload waited 4.2 s for a slot
-        # when the time for the stop was over.
-        daemon = await start(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
-
-        async def order():
-            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
-
-        (upstream,) = fleet.upstreams.values()
-        running = [asyncio.create_task(order()) for _ in range(2)]
-        await fleet.await_true(lambda: len(upstream.runs) == 2)
-        waiting = asyncio.create_task(order())
-        await asyncio.sleep(0.1)
-        await daemon.stop()
-        assert waiting.done()
-        assert (await waiting)[0] == 503
-        assert {(await item)[0] for item in running} == {504}
-        assert len(upstream.runs) == 2
-
-    async def test_the_log_tells_how_far_a_request_came(self, fleet, capsys):
-        # Guards against requests of a planned stop whose end nothing explains.
-        daemon = await start(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
-
-        async def order():
-            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
-
-        orders = [asyncio.create_task(order()) for _ in range(3)]
-        await asyncio.sleep(0.2)
-        await daemon.stop()
-        await asyncio.gather(*orders)
-        lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
-        steps = sorted(line["step"] for line in lines if line["route"] == "orders")
-        assert steps == ["sent", "sent", "slot"]
-
-    async def test_a_late_request_that_may_outlast_the_stop_runs_nowhere(self, fleet):
-        # Guards against work that a planned stop breaks off at its upstream.
-        await start(fleet, "hang")
-        (upstream,) = fleet.upstreams.values()
-        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
-        stopping = asyncio.create_task(daemon.stop())
-        await asyncio.sleep(0.6)
-        caller = await RawCaller.connect(daemon)
-        caller.write(build_order(b"1"))
-        answer = await caller.read()
-        await stopping
-        assert answer.startswith(b"HTTP/1.1 503 ")
-        assert b"Connection: close" in answer
-        assert upstream.runs == []
-
-    async def test_a_planned_stop_answers_a_body_that_still_arrives(self, fleet):
-        # Guards against a closed connection under an upload over a slow link.
-        daemon = await start(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
-        caller = await RawCaller.connect(daemon)
-        caller.write(build_order(b"x" * 1000)[:-500])
-        await fleet.await_true(lambda: daemon._lifecycle.running == 1)
-        answering = asyncio.create_task(caller.read())
-        await daemon.stop()
-        assert (await answering).startswith(b"HTTP/1.1 503 ")
-
-    async def test_a_planned_stop_answers_header_lines_that_still_arrive(self, fleet):
-        # Guards against a closed connection under a request over a slow link.
-        fleet.configure(version=2, limits={"header_seconds": 30.0})
-        daemon = await start(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
-        caller = await RawCaller.connect(daemon)
-        caller.write(build_order(b"1")[:40])
-        await asyncio.sleep(0.1)
-        answering = asyncio.create_task(caller.read())
-        await daemon.stop()
-        assert (await asyncio.wait_for(answering, 5.0)).startswith(b"HTTP/1.1 408 ")
-
-    async def test_a_planned_stop_refuses_what_upstreams_shed(self, fleet):
-        # Guards against an unknown outcome (504) where no upstream ran the request.
-        daemon = await start(fleet, "shed", bounds=Bounds(stop_seconds=1.0))
-        await fleet.add_upstream("hang")
-        await fleet.await_true(
-            lambda: len(daemon.follower.upstreams.list_usable(SERVICE)) == 2
-        )
-
-        async def order():
-            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
-
-        hanging = fleet.upstreams["u1"]
-        sends = [asyncio.create_task(order()) for _ in range(6)]
-        await fleet.await_true(lambda: len(hanging.runs) == 2)
-        await asyncio.sleep(0.1)
-        await daemon.stop()
-        statuses = sorted([(await item)[0] for item in sends])
-        assert statuses == [503] * 4 + [504] * 2
-
-    async def test_a_planned_stop_waits_until_an_answer_is_delivered(self, fleet):
-        # Guards against an answer that is cut while a slow link carries it.
-        daemon = await start(fleet, "large", bounds=Bounds(stop_seconds=2.0))
-        caller = await RawCaller.connect(daemon, receive_bytes=4096)
-        caller.write(build_order(b"1"))
-        (upstream,) = fleet.upstreams.values()
-        await fleet.await_true(lambda: upstream.runs)
-        stopping = asyncio.create_task(daemon.stop())
-        await asyncio.sleep(1.6)
-        assert not stopping.done()
-        answering = asyncio.create_task(caller.read())
-        await stopping
-        answer = await answering
-        assert answer.startswith(b"HTTP/1.1 200 ")
-        assert len(answer) > LARGE_BYTES
-
-    async def test_an_instance_that_just_started_takes_over_the_rates(
-        self, fleet, monkeypatch
-    ):
-        # Guards against refusals while a rolling restart moves the rights on rates.
-        leaving = await start(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
-        monkeypatch.setattr(rights, "SETTLING_SECONDS", 30.0)
-        daemon = await fleet.add_gateway()
-        await fleet.await_true(lambda: len(daemon.follower.members) == 2)
-        await leaving.stop()
-        assert (await fleet.send(daemon))[0] == 200
-
-
 class TestReload:
     async def test_new_bounds_are_in_force_without_a_restart(self, fleet):
         # Guards against a reload that the process only notes.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         found = replace(daemon._settings, bounds=Bounds(key_seconds=0.0))
         daemon._reload = lambda: Ok(found)
         daemon.reload()
@@ -641,14 +445,14 @@
         assert not daemon.is_ready()
 
     async def test_settings_that_cannot_be_used_change_nothing(self, fleet):
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         daemon._reload = lambda: Error(Failure("settings", "cannot be used"))
         daemon.reload()
         assert (await fleet.send(daemon))[0] == 200
 
     async def test_a_reload_asked_for_during_the_start_is_made_up_for(self, fleet):
         # Guards against settings that changed after a starting process had read them.
-        daemon = await start(fleet, "whole")
+        daemon = await start_gateway(fleet, "whole")
         found = replace(daemon._settings, bounds=Bounds(key_seconds=0.0))
         daemon._reload = lambda: Ok(found)
         daemon._early._note(signal.SIGHUP, None)
--- a/libraries/gateway/shallotspindle_gateway/stopping_test.py
+++ b/libraries/gateway/shallotspindle_gateway/stopping_test.py
@@ -1,6 +1,21 @@
+import asyncio
+import json
+
+import pytest
+
+from shallotspindle_gateway import rights
+from shallotspindle_gateway.conftest import (
+    LARGE_BYTES,
+    SERVICE,
+    RawCaller,
+    build_order,
+    start_gateway,
+)
+from shallotspindle_gateway.records import Bounds
 from shallotspindle_gateway.stopping import StopPlan
 
 PLAN = StopPlan(started=100.0, seconds=6.0)
+pytestmark = pytest.mark.usefixtures("no_settling")
 
 
 class TestAdmission:
@@ -35,3 +50,137 @@
             PLAN.started + PLAN.seconds,
         ]
         assert times == sorted(times)
+
+
+class TestStop:
+    async def test_a_planned_stop_cuts_no_request(self, fleet):
+        # Guards against answers that are lost when an instance is replaced.
+        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
+        upstream = await fleet.add_upstream()
+        await fleet.await_true(lambda: daemon.follower.upstreams.version > 0)
+        await fleet.await_true(
+            lambda: len(daemon.follower.rights) == rights.RIGHT_COUNT
+        )
+        stopping = asyncio.create_task(daemon.stop())
+        await fleet.await_true(lambda: not daemon.is_ready())
+        status, headers, _ = await fleet.send(daemon, "/reads/1")
+        assert status in (200, 503)
+        assert headers["Connection"] == "close"
+        await stopping
+        assert len(upstream.runs) <= 1
+
+    async def test_a_planned_stop_answers_what_still_waits(self, fleet):
+        # Guards against requests without an answer: an upload waited 4.2 s for a slot
+        # when the time for the stop was over.
+        daemon = await start_gateway(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        (upstream,) = fleet.upstreams.values()
+        running = [asyncio.create_task(order()) for _ in range(2)]
+        await fleet.await_true(lambda: len(upstream.runs) == 2)
+        waiting = asyncio.create_task(order())
+        await asyncio.sleep(0.1)
+        await daemon.stop()
+        assert waiting.done()
+        assert (await waiting)[0] == 503
+        assert {(await item)[0] for item in running} == {504}
+        assert len(upstream.runs) == 2
+
+    async def test_the_log_tells_how_far_a_request_came(self, fleet, capsys):
+        # Guards against requests of a planned stop whose end nothing explains.
+        daemon = await start_gateway(fleet, "hang", bounds=Bounds(stop_seconds=1.0))
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        orders = [asyncio.create_task(order()) for _ in range(3)]
+        await asyncio.sleep(0.2)
+        await daemon.stop()
+        await asyncio.gather(*orders)
+        lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+        steps = sorted(line["step"] for line in lines if line["route"] == "orders")
+        assert steps == ["sent", "sent", "slot"]
+
+    async def test_a_late_request_that_may_outlast_the_stop_runs_nowhere(self, fleet):
+        # Guards against work that a planned stop breaks off at its upstream.
+        await start_gateway(fleet, "hang")
+        (upstream,) = fleet.upstreams.values()
+        daemon = await fleet.add_gateway(bounds=Bounds(stop_seconds=1.0))
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(0.6)
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"1"))
+        answer = await caller.read()
+        await stopping
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close" in answer
+        assert upstream.runs == []
+
+    async def test_a_planned_stop_answers_a_body_that_still_arrives(self, fleet):
+        # Guards against a closed connection under an upload over a slow link.
+        daemon = await start_gateway(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"x" * 1000)[:-500])
+        await fleet.await_true(lambda: daemon._lifecycle.running == 1)
+        answering = asyncio.create_task(caller.read())
+        await daemon.stop()
+        assert (await answering).startswith(b"HTTP/1.1 503 ")
+
+    async def test_a_planned_stop_answers_header_lines_that_still_arrive(self, fleet):
+        # Guards against a closed connection under a request over a slow link.
+        fleet.configure(version=2, limits={"header_seconds": 30.0})
+        daemon = await start_gateway(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(b"1")[:40])
+        await asyncio.sleep(0.1)
+        answering = asyncio.create_task(caller.read())
+        await daemon.stop()
+        assert (await asyncio.wait_for(answering, 5.0)).startswith(b"HTTP/1.1 408 ")
+
+    async def test_a_planned_stop_refuses_what_upstreams_shed(self, fleet):
+        # Guards against an unknown outcome (504) where no upstream ran the request.
+        daemon = await start_gateway(fleet, "shed", bounds=Bounds(stop_seconds=1.0))
+        await fleet.add_upstream("hang")
+        await fleet.await_true(
+            lambda: len(daemon.follower.upstreams.list_usable(SERVICE)) == 2
+        )
+
+        async def order():
+            return await fleet.send(daemon, "/orders/1", method="POST", body=b"1")
+
+        hanging = fleet.upstreams["u1"]
+        sends = [asyncio.create_task(order()) for _ in range(6)]
+        await fleet.await_true(lambda: len(hanging.runs) == 2)
+        await asyncio.sleep(0.1)
+        await daemon.stop()
+        statuses = sorted([(await item)[0] for item in sends])
+        assert statuses == [503] * 4 + [504] * 2
+
+    async def test_a_planned_stop_waits_until_an_answer_is_delivered(self, fleet):
+        # Guards against an answer that is cut while a slow link carries it.
+        daemon = await start_gateway(fleet, "large", bounds=Bounds(stop_seconds=2.0))
+        caller = await RawCaller.connect(daemon, receive_bytes=4096)
+        caller.write(build_order(b"1"))
+        (upstream,) = fleet.upstreams.values()
+        await fleet.await_true(lambda: upstream.runs)
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(1.6)
+        assert not stopping.done()
+        answering = asyncio.create_task(caller.read())
+        await stopping
+        answer = await answering
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert len(answer) > LARGE_BYTES
+
+    async def test_an_instance_that_just_started_takes_over_the_rates(
+        self, fleet, monkeypatch
+    ):
+        # Guards against refusals while a rolling restart moves the rights on rates.
+        leaving = await start_gateway(fleet, "whole", bounds=Bounds(stop_seconds=1.0))
+        monkeypatch.setattr(rights, "SETTLING_SECONDS", 30.0)
+        daemon = await fleet.add_gateway()
+        await fleet.await_true(lambda: len(daemon.follower.members) == 2)
+        await leaving.stop()
+        assert (await fleet.send(daemon))[0] == 200
