Take no older news from a neighbour

What callers see: work for an upstream that left, or none for one that came, for up to 10 s. Cause: since neighbours are asked beside the watch, an answer as of an older revision may come after the watch told more. Its events were applied as news: a put that had been removed since came back. Change: a neighbour's events are taken only if its revision is not below the own one, as those of the store are. Tests: two of TestOlderAnswers failed before.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -208,10 +208,10 @@
         return False
 
     def _take_changes(self, changes: Changes) -> None:
-        """Take what a watch told, unless a neighbour told more meanwhile.
+        """Take what the store or a neighbour told, unless later news came meanwhile.
 
-        The changes begin where the watch was asked: those of an older answer would take
-        back what is known by now.
+        The changes begin where the question was asked: those of an older answer would
+        take back what is known by now.
         """
         if changes.revision >= self._log.revision:
             self._apply(changes)
@@ -330,7 +330,7 @@
         if told.grace_seconds > 0 and sent_at - self._heard_at >= UNHEARD_SECONDS:
             self.upstreams.distrust(told.grace_seconds, now)
             self._expire_later(told.grace_seconds)
-        self._apply(Changes(events, told.revision))
+        self._take_changes(Changes(events, told.revision))
         if told.is_whole:
             # Delays on the way make the confirmation older, never younger.
             self._confirm(sent_at - told.age_seconds, sent_at - told.silence_seconds)
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -215,6 +215,33 @@
 NEWS_SECONDS = 1.7
 
 
+class TestOlderAnswers:
+    def follow(self, *events, revision):
+        follower = Follower(
+            OWN, ScriptedStore(()), Documents(), ScriptedPeers(), SystemClock()
+        )
+        follower._apply(Changes((UPSTREAM,), 10))
+        follower._take_changes(Changes(events, revision))
+        return follower
+
+    def test_a_neighbour_that_knows_less_brings_no_upstream_back(self):
+        # Guards against work for an upstream whose removal the own watch told while a
+        # neighbour's older answer was on its way.
+        put = Stored(UPSTREAM.key, UPSTREAM.value, 11)
+        follower = self.follow(put, UPSTREAM.key, revision=12)
+        event = (put.key, put.value, 11, False)
+        told = ChangesTold(11, 0.1, 0.1, events=(event,))
+        follower._take(told, SystemClock().boottime())
+        assert not has_upstream(follower)
+
+    def test_a_neighbour_that_knows_less_removes_nothing(self):
+        put = Stored(UPSTREAM.key, UPSTREAM.value, 12)
+        follower = self.follow(UPSTREAM.key, put, revision=12)
+        told = ChangesTold(11, 0.1, 0.1, events=((put.key, b"", 0, True),))
+        follower._take(told, SystemClock().boottime())
+        assert has_upstream(follower)
+
+
 class TestSilentStore:
     async def test_a_watcher_hears_of_a_change_while_its_call_hangs(self):
         # Guards against news that waits for the end of a call without an answer.
