Act on no right once a planned stop gave the rights up

What callers see: more requests of a team than its rate, while two instances hold it. Cause: a renewal on its way when the lease ends made the right valid again at the stopping instance until the news of the removal came. Change: an instance that leaves tells of no right.

--- a/libraries/gateway/shallotspindle_gateway/rights.py
+++ b/libraries/gateway/shallotspindle_gateway/rights.py
@@ -79,7 +79,7 @@
 
     def find_gained(self, right: str, now: float) -> float | None:
         """Return since when this instance acts on a right, or None if it may not."""
-        if now >= self._valid_until:
+        if self._leaving or now >= self._valid_until:
             return None
         return self._gained.get(right)
 
