Blame no upstream for a long body that its caller breaks off

What callers see: sound upstreams that count as crashed, and a request that is held back after three callers or tries left it. Cause: a streamed body that ends early fails the send; the outcome was a reset by the upstream. A caller that sent nothing for long was not timed out in that part either. Change: the body remembers that its caller failed, and the slot goes back as cancelled; the rest of a body has the same idle limit as its start. Test: test_a_caller_that_leaves_its_long_body_blames_no_upstream failed before (reset).

--- a/libraries/gateway/shallotspindle_gateway/bodies.py
+++ b/libraries/gateway/shallotspindle_gateway/bodies.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from aiohttp import HttpVersion11, hdrs, web
+from aiohttp import ClientError, HttpVersion11, hdrs, web
 
 from shallotspindle_core.failures import Failure, FailureError
 
@@ -39,12 +39,14 @@
     :param rest: the stream that holds what was not read; None if all was.
     :param largest: limit on the whole body, in bytes.
     :param is_streamed: whether a send has begun to read the rest.
+    :param has_failed: whether the caller did not send the rest, or too much of it.
     """
 
     start: bytes
     rest: asyncio.StreamReader | None
     largest: int = 0
     is_streamed: bool = False
+    has_failed: bool = False
 
     @property
     def exists(self) -> bool:
@@ -74,12 +76,22 @@
         self.is_streamed = True
         yield self.start
         size = len(self.start)
-        while chunk := await self.rest.read(CHUNK_BYTES):
+        while chunk := await self._read_rest():
             size += len(chunk)
             if size > self.largest:
+                self.has_failed = True
                 raise FailureError(BodyTooLong("body", "is longer than the limit"))
             yield chunk
 
+    async def _read_rest(self) -> bytes:
+        try:
+            async with asyncio.timeout(IDLE_SECONDS):
+                return await self.rest.read(CHUNK_BYTES)
+        except (ClientError, OSError, TimeoutError):
+            # Whatever ended the body, its upstream is not to blame for it.
+            self.has_failed = True
+            raise
+
 
 async def send_continue(request: web.BaseRequest) -> None:
     """Ask for the body of a caller that waits for ``100 Continue`` before it."""
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -352,6 +352,9 @@
     def close(self):
         self._writer.close()
 
+    def abort(self):
+        self._writer.transport.abort()
+
     async def read_head(self):
         """Return the next header lines."""
         return await self._reader.readuntil(b"\r\n\r\n")
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -18,6 +18,7 @@
     start_gateway,
 )
 from shallotspindle_gateway.records import Bounds
+from shallotspindle_lending.records import Outcome
 
 pytestmark = pytest.mark.usefixtures("no_settling")
 
@@ -148,6 +149,27 @@
         await asyncio.sleep(0.1)
         assert len(upstream.runs) == 2
 
+    async def test_a_caller_that_leaves_its_long_body_blames_no_upstream(
+        self, fleet, monkeypatch
+    ):
+        # Guards against a sound upstream that counts as crashed for a lost caller.
+        seen = []
+        give_back = borrowing.Borrower.give_back
+
+        def note(borrower, want, slot, outcome, seconds):
+            seen.append(outcome)
+            give_back(borrower, want, slot, outcome, seconds)
+
+        monkeypatch.setattr(borrowing.Borrower, "give_back", note)
+        daemon = await start_gateway(fleet, "whole")
+        caller = await RawCaller.connect(daemon)
+        caller.write(build_order(bytes(3_000_000))[:2_000_000])
+        await fleet.await_true(lambda: daemon._pipeline._running)
+        await asyncio.sleep(0.3)
+        caller.abort()
+        await fleet.await_true(lambda: seen)
+        assert seen == [Outcome.CANCELLED]
+
     async def test_a_long_body_goes_out_whole_or_not_at_all(self, fleet):
         # Guards against an order that runs with the end of its body only: the rest of
         # a long one was read for an upstream that shed it.
--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from shallotspindle_core.clock import Clock
 from shallotspindle_entry.answers import Fault
@@ -51,11 +52,21 @@
     fault: Fault | None = None
 
 
+class Source(Protocol):
+    """Where the body of a request comes from."""
+
+    def may_send(self) -> bool:
+        """Return whether an upstream would get the whole body now."""
+
+    def has_failed(self) -> bool:
+        """Return whether the caller broke the body off."""
+
+
 @dataclass(slots=True)
 class Run:
     """Progress of one request.
 
-    :param is_sendable: whether the body can be sent from its start.
+    :param source: where the body comes from.
     :param runs: sends after which the request may have run.
     :param arrivals: sends that reached an upstream, run or not.
     """
@@ -63,7 +74,7 @@
     want: Want
     attempts: int
     build: Callable[[Borrowed, float], Order]
-    is_sendable: Callable[[], bool]
+    source: Source
     sends: list[Sent]
     runs: int = 0
     arrivals: int = 0
@@ -94,18 +105,17 @@
         want: Want,
         attempts: int,
         build: Callable[[Borrowed, float], Order],
-        is_sendable: Callable[[], bool],
+        source: Source,
         sends: list[Sent],
     ) -> Answer | Failed:
         """Run a request until its answer is final.
 
         :param attempts: largest number of upstreams that may run it.
         :param build: returns what is sent with a slot in the seconds that are left.
-        :param is_sendable: tells whether the body can be sent from its start; what a
-            send has read of a stream is gone.
+        :param source: where the body comes from.
         :param sends: gets each send as it ends.
         """
-        run = Run(want, attempts, build, is_sendable, sends)
+        run = Run(want, attempts, build, source, sends)
         flights: list[Flight] = []
         try:
             return await self._run(run, flights)
@@ -153,7 +163,7 @@
             return False
         if run.runs and not run.want.repeatable:
             return False
-        return run.is_sendable()
+        return run.source.may_send()
 
     async def _launch(self, run: Run, flights: list[Flight]) -> bool:
         if not self._may_send(run, len(flights)):
@@ -189,16 +199,16 @@
         return answer
 
     def _note(self, run: Run, flight: Flight, attempt: Attempt) -> None:
-        run.last = attempt.outcome
+        # A body that its caller broke off says nothing about the upstream.
+        outcome = Outcome.CANCELLED if run.source.has_failed() else attempt.outcome
+        run.last = outcome
         if not attempt.not_run:
             run.runs += 1
         if attempt.outcome is not Outcome.NOT_CONNECTED:
             run.arrivals += 1
         seconds = attempt.seconds
-        run.sends.append(
-            Sent(flight.slot.upstream, attempt.outcome, seconds, attempt.fault)
-        )
-        self._borrower.give_back(run.want, flight.slot, attempt.outcome, seconds)
+        run.sends.append(Sent(flight.slot.upstream, outcome, seconds, attempt.fault))
+        self._borrower.give_back(run.want, flight.slot, outcome, seconds)
 
     def _cancel(self, run: Run, flight: Flight) -> None:
         """End a send whose answer is no longer needed."""
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -134,6 +134,22 @@
     return None if isinstance(found, routes.NoRoute) else found
 
 
+@dataclass(frozen=True, slots=True)
+class BodySource:
+    """Body of one request, as the executor asks for it."""
+
+    body: Body
+    pipeline: "Pipeline"
+
+    def may_send(self) -> bool:
+        """Return whether an upstream would get the whole body now."""
+        return self.body.is_sendable and not self.pipeline.refuses
+
+    def has_failed(self) -> bool:
+        """Return whether the caller broke the body off."""
+        return self.body.has_failed
+
+
 class Pipeline:
     """Serves requests; all state belongs to the tasks that it asks."""
 
@@ -272,14 +288,14 @@
             running.orders += 1
             return self._build_order(call, body, slot, seconds)
 
-        result = await self._executor.run(
-            want, attempts, build, lambda: self._may_send(body), trace.sends
-        )
+        source = BodySource(body, self)
+        result = await self._executor.run(want, attempts, build, source, trace.sends)
         return self._conclude(result, trace)
 
-    def _may_send(self, body: Body) -> bool:
-        """Return whether a request may go to an upstream, first or again."""
-        return body.is_sendable and not self._refuses
+    @property
+    def refuses(self) -> bool:
+        """Whether the end of a planned stop is too near to send anything."""
+        return self._refuses
 
     @property
     def is_idle(self) -> bool:
