--- a/libraries/gateway/shallotspindle_gateway/bodies.py
+++ b/libraries/gateway/shallotspindle_gateway/bodies.py
@@ -10,13 +10,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from aiohttp import web
+from aiohttp import HttpVersion11, hdrs, web
 
 from shallotspindle_core.failures import Failure, FailureError
 
 KEPT_BYTES = 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 IDLE_SECONDS = 5.0
+CONTINUE_EXPECTED = "100-continue"
+CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class BodyFault(Enum):
@@ -36,11 +38,13 @@
 
     :param rest: the stream that holds what was not read; None if all was.
     :param largest: limit on the whole body, in bytes.
+    :param is_streamed: whether a send has begun to read the rest.
     """
 
     start: bytes
     rest: asyncio.StreamReader | None
     largest: int = 0
+    is_streamed: bool = False
 
     @property
     def exists(self) -> bool:
@@ -51,6 +55,11 @@
         """Whether the whole body is kept."""
         return self.rest is None
 
+    @property
+    def is_sendable(self) -> bool:
+        """Whether an upstream would get the body from its first byte to its last."""
+        return not self.is_streamed
+
     def digest(self) -> bytes:
         """Return the digest of the start, 32 bytes."""
         return hashlib.sha256(self.start).digest()
@@ -62,6 +71,7 @@
         return self.start if self.rest is None else self._iterate()
 
     async def _iterate(self) -> AsyncIterator[bytes]:
+        self.is_streamed = True
         yield self.start
         size = len(self.start)
         while chunk := await self.rest.read(CHUNK_BYTES):
@@ -71,6 +81,16 @@
             yield chunk
 
 
+async def send_continue(request: web.BaseRequest) -> None:
+    """Ask for the body of a caller that waits for ``100 Continue`` before it."""
+    expected = request.headers.get(hdrs.EXPECT, "").lower()
+    if expected != CONTINUE_EXPECTED or request.version < HttpVersion11:
+        return
+    await request.writer.write(CONTINUE_ANSWER)
+    # The final answer has not begun.
+    request.writer.output_size = 0
+
+
 async def read_body(request: web.BaseRequest, largest: int) -> Body | BodyFault:
     """Read the start of a body.
 
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -191,6 +191,7 @@
     async def _run(self, call: Call, running: Running) -> Answer | Refusal:
         running.trace.step = Step.BODY
         largest = self._follower.deployment.caller_limits.body_bytes
+        await bodies.send_continue(call.request)
         body = await bodies.read_body(call.request, largest)
         if isinstance(body, BodyFault):
             return BODY_REFUSALS[body]
@@ -272,7 +273,9 @@
             running.orders += 1
             return self._build_order(call, body, slot, seconds)
 
-        result = await self._executor.run(want, attempts, build, trace.sends)
+        result = await self._executor.run(
+            want, attempts, build, lambda: body.is_sendable, trace.sends
+        )
         return self._conclude(result, trace)
 
     def begin_stop(self, plan: StopPlan) -> None:
--- a/libraries/soak/shallotspindle_soak/main.py
+++ b/libraries/soak/shallotspindle_soak/main.py
@@ -20,12 +20,16 @@
 from shallotspindle_soak.promises import Broken
 from shallotspindle_soak.records import History
 from shallotspindle_soak.regressions import REGRESSIONS, Regression
+from shallotspindle_soak.watching import Watch
 
 GATEWAYS = 4
 UPSTREAMS = 8
 CALLERS = 18
 SETTLE_SECONDS = 2.5
+# Leaves time in which a request that gets no answer becomes overdue.
+RECOVERED_SECONDS = 2 * promises.OVERDUE_SECONDS
 EXIT_BROKEN = 1
+MEGABYTE = 1024**2
 app = cyclopts.App(name="shallotspindle-soak", help=__doc__)
 
 
@@ -35,7 +39,7 @@
     folder: Path,
     clock: Clock,
     program: tuple[str, ...] = (PROGRAM,),
-    rest: float = promises.RECOVERY_SECONDS + SETTLE_SECONDS,
+    rest: float = promises.RECOVERY_SECONDS + RECOVERED_SECONDS,
 ) -> History:
     """Play faults against a new fleet and return its history.
 
@@ -44,10 +48,13 @@
     fleet = Fleet(folder, clock, Random(seed), program)
     try:
         await fleet.start(GATEWAYS, UPSTREAMS, CALLERS)
+        await fleet.start_special_callers()
+        watch = asyncio.create_task(Watch(fleet).run())
         await asyncio.sleep(SETTLE_SECONDS)
         await Injection(fleet).play(events)
         await asyncio.sleep(rest)
         await fleet.stop_callers()
+        watch.cancel()
     finally:
         await fleet.stop()
     return fleet.history
@@ -58,11 +65,22 @@
     statuses: dict[str, int] = {}
     for call in history.calls:
         statuses[str(call.status)] = statuses.get(str(call.status), 0) + 1
+    stalls = [span.end - span.start for span in history.stalls]
+    late = [s.end - s.start for s in history.stalls if s.end > history.quiet_from]
+    starved = {
+        name: round(sum(span.end - span.start for span in spans), 1)
+        for name, spans in sorted(history.starved.items())
+    }
     line = {
         "seed": seed,
         "calls": len(history.calls),
         "runs": len(history.runs),
         "statuses": dict(sorted(statuses.items())),
+        "stops": sum(map(len, history.stopped.values())),
+        "peak_megabytes": max(history.memory.values(), default=0) // MEGABYTE,
+        "stall_seconds": round(sum(stalls), 1),
+        "stall_seconds_after_faults": round(sum(late), 1),
+        "starved_seconds": starved,
         "broken": [[b.promise, b.request_id, b.detail] for b in broken[:10]],
         "logs": str(folder) if broken else "",
     }
