--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -134,6 +134,22 @@
     return None if isinstance(found, routes.NoRoute) else found
 
 
+@dataclass(frozen=True, slots=True)
+class BodySource:
+    """Body of one request, as the executor asks for it."""
+
+    body: Body
+    pipeline: "Pipeline"
+
+    def may_send(self) -> bool:
+        """Return whether an upstream would get the whole body now."""
+        return self.body.is_sendable and not self.pipeline.refuses
+
+    def has_failed(self) -> bool:
+        """Return whether the caller broke the body off."""
+        return self.body.has_failed
+
+
 class Pipeline:
     """Serves requests; all state belongs to the tasks that it asks."""
 
@@ -172,6 +188,7 @@
         running = Running(trace)
         task = asyncio.create_task(self._run(call, running))
         self._running[task] = running
+        task.add_done_callback(self._running.pop)
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -182,8 +199,6 @@
             if running.repeatable or not running.may_have_run:
                 task.cancel()
             raise
-        finally:
-            del self._running[task]
 
     def _admits(self, call: Call) -> bool:
         return self._stop is None or self._stop.admits(call.arrived, call.until)
@@ -273,11 +288,20 @@
             running.orders += 1
             return self._build_order(call, body, slot, seconds)
 
-        result = await self._executor.run(
-            want, attempts, build, lambda: body.is_sendable, trace.sends
-        )
+        source = BodySource(body, self)
+        result = await self._executor.run(want, attempts, build, source, trace.sends)
         return self._conclude(result, trace)
 
+    @property
+    def refuses(self) -> bool:
+        """Whether the end of a planned stop is too near to send anything."""
+        return self._refuses
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs, also nothing whose caller has left."""
+        return not self._running
+
     def begin_stop(self, plan: StopPlan) -> None:
         """Refuse from now on what may outlast the stop."""
         self._stop = plan
@@ -288,13 +312,13 @@
         The process ends before its body, its token or its slot may come.
         """
         self._refuses = True
-        for task, running in self._running.items():
+        for task, running in tuple(self._running.items()):
             if not running.may_have_run:
                 task.cancel()
 
     def end(self) -> None:
         """Answer what still runs; whether it ran to its end stays unknown."""
-        for task in self._running:
+        for task in tuple(self._running):
             task.cancel()
 
     @staticmethod
