State bounds on fields once, and check them where messages are decoded

Cause: a number, address or text from outside was checked for its type at most. A port above 65535, slots of 10**30 or a wait of 1e300 s reached the sockets and the scheduler, whose errors no caller expected. Bundle checks raised ValueError for a port of 5,000 digits.

Change: shallotspindle_core has `addresses` (one parser of ip:port; the copy in bundles/checks is gone) and `bounds` (largest values, and constraints that a message field states with Annotated). The codec checks the constraints on decoding; addresses, durations, revisions and priorities of the gateways' messages have them.

The samples of three messages in wire_form_test.py had "text-2" as an address, which the codec now rejects; they have addresses instead. Kinds, field order and field types are unchanged.

--- a/libraries/bundles/shallotspindle_bundles/checks.py
+++ b/libraries/bundles/shallotspindle_bundles/checks.py
@@ -3,22 +3,16 @@
 A bundle with any failure is rejected as a whole.
 """
 
-import ipaddress
 import math
-import re
 from collections.abc import Callable, Hashable, Iterable, Iterator
 from dataclasses import dataclass
 
 from shallotspindle_bundles.records import Draft, KeyRule, Route, Upstream
+from shallotspindle_core import addresses
 from shallotspindle_core.failures import Failure
 
 DIGEST_BYTES = 32
 MIN_SALT_BYTES = 16
-MAX_PORT = 65_535
-# Parsing 6,300 addresses with the module ipaddress takes ten times as long.
-IPV4_PATTERN = re.compile(
-    r"(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?!$)|$)){4}", re.ASCII
-)
 KEY_RULES = frozenset(KeyRule)
 HTTP_METHODS = frozenset(
     {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE", "POST", "PATCH"}
@@ -138,29 +132,10 @@
     )
 
 
-def is_valid_address(text: str) -> bool:
-    """Return whether a text is ``ip:port``, with an IPv6 address in brackets."""
-    host, _, port = text.rpartition(":")
-    if IPV4_PATTERN.fullmatch(host):
-        return is_valid_port(port)
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    try:
-        ipaddress.IPv6Address(host)
-    except ValueError:
-        return False
-    return is_valid_port(port)
-
-
-def is_valid_port(text: str) -> bool:
-    """Return whether a text is a port number that can be connected to."""
-    return text.isascii() and text.isdecimal() and 0 < int(text) <= MAX_PORT
-
-
 def check_upstreams(draft: Draft) -> FailureIterator:
     upstreams = list(list_upstreams(draft))
     for path, item in upstreams:
-        if not is_valid_address(item.address):
+        if not addresses.is_address(item.address):
             message = "the address is not an IP address and a port"
             yield build_failure((*path, "address"), message, item.address)
         if not item.domain:
@@ -173,8 +148,8 @@
         if item.connections < 1:
             message = "the number of connections is below 1"
             yield build_failure((*path, "connections"), message, str(item.connections))
-    addresses = (((*path, "address"), item.address) for path, item in upstreams)
-    yield from find_duplicates(addresses, "the address is listed twice")
+    located = (((*path, "address"), item.address) for path, item in upstreams)
+    yield from find_duplicates(located, "the address is listed twice")
 
 
 def check_floors(draft: Draft) -> FailureIterator:
--- a/libraries/bundles/shallotspindle_bundles/checks_test.py
+++ b/libraries/bundles/shallotspindle_bundles/checks_test.py
@@ -88,27 +88,3 @@
         assert not any(
             "dddd" in str(failure) for failure in checks.check_draft(invalid)
         )
-
-
-class TestAddress:
-    @pytest.mark.parametrize(
-        ("text", "is_valid"),
-        [
-            ("10.0.0.255:1", True),
-            ("[::1]:80", True),
-            ("0.0.0.0:65535", True),
-            ("10.0.0.256:1", False),
-            ("10.0.0.01:1", False),
-            ("10.0.0:1", False),
-            ("10.0.0.1.:1", False),
-            ("10.0.0.1:65536", False),
-            ("10.0.0.1:-1", False),
-            ("10.0.0.1:\u0661", False),
-            ("10.0.0.1", False),
-            ("[10.0.0.1]:1", False),
-            ("", False),
-        ],
-    )
-    def test_only_ip_address_with_port_is_valid(self, text, is_valid):
-        # Guards against an upstream that no instance can connect to.
-        assert checks.is_valid_address(text) == is_valid
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from shallotspindle_core.bounds import Revision, Seconds
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_lending import records as lending_records
 
@@ -22,8 +23,8 @@
     KIND: ClassVar[str] = "tokenasked"
 
     team: TeamName
-    wait_seconds: float
-    new_holder_wait_seconds: float = 0.0
+    wait_seconds: Seconds
+    new_holder_wait_seconds: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
 
     KIND: ClassVar[str] = "tokengiven"
 
-    wait_seconds: float
+    wait_seconds: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
 
     KIND: ClassVar[str] = "tokendenied"
 
-    retry_after: float
+    retry_after: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +65,7 @@
 
     KIND: ClassVar[str] = "changesasked"
 
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,11 +87,11 @@
 
     KIND: ClassVar[str] = "changestold"
 
-    revision: int
-    age_seconds: float
-    store_response_age_seconds: float
-    grace_seconds: float = 0.0
-    events: tuple[tuple[str, bytes, int, bool], ...] = ()
+    revision: Revision
+    age_seconds: Seconds
+    store_response_age_seconds: Seconds
+    grace_seconds: Seconds = 0.0
+    events: tuple[tuple[str, bytes, Revision, bool], ...] = ()
     is_history_missing: bool = False
     is_complete: bool = True
 
@@ -104,7 +105,7 @@
 
     KIND: ClassVar[str] = "renewalasked"
 
-    lease_id: int
+    lease_id: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +117,7 @@
 
     KIND: ClassVar[str] = "renewaltold"
 
-    lease_id: int
+    lease_id: Revision
     has_ended: bool
 
 
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -81,7 +81,7 @@
     (
         SlotRequest(
             number=1,
-            requester="text-2",
+            requester="10.0.0.2:2",
             service=ServiceName("text-3"),
             domain=FailureDomain("text-4"),
             is_idempotent=True,
@@ -98,7 +98,7 @@
             1,
             "slotasked",
             1,
-            "text-2",
+            "10.0.0.2:2",
             "text-3",
             "text-4",
             True,
@@ -116,10 +116,10 @@
         SlotGrant(
             number=1,
             upstream=UpstreamName("text-2"),
-            address="text-3",
+            address="10.0.0.3:3",
             hedge_delay_seconds=4.5,
         ),
-        [1, "slotlent", 1, "text-2", "text-3", 4.5],
+        [1, "slotlent", 1, "text-2", "10.0.0.3:3", 4.5],
     ),
     (SlotQueued(number=1), [1, "slotqueued", 1]),
     (
@@ -129,14 +129,24 @@
     (
         SlotReturned(
             number=1,
-            requester="text-2",
+            requester="10.0.0.2:2",
             service=ServiceName("text-3"),
             domain=FailureDomain("text-4"),
             upstream=UpstreamName("text-5"),
             outcome=Outcome.OVERDUE,
             duration_seconds=7.5,
         ),
-        [1, "slotreturned", 1, "text-2", "text-3", "text-4", "text-5", "overdue", 7.5],
+        [
+            1,
+            "slotreturned",
+            1,
+            "10.0.0.2:2",
+            "text-3",
+            "text-4",
+            "text-5",
+            "overdue",
+            7.5,
+        ],
     ),
     (
         UpstreamCrashed(fingerprint=1, upstream=UpstreamName("text-2")),
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import ClassVar
 
+from shallotspindle_core.bounds import Address, Priority, Seconds
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 
 
@@ -64,15 +65,15 @@
     KIND: ClassVar[str] = "slotasked"
 
     number: int
-    requester: str
+    requester: Address
     service: ServiceName
     domain: FailureDomain
     is_idempotent: bool
     is_retry: bool
-    priority: int
-    deadline_seconds: float
-    objective_seconds: float
-    max_wait_seconds: float
+    priority: Priority
+    deadline_seconds: Seconds
+    objective_seconds: Seconds
+    max_wait_seconds: Seconds
     fingerprint: int
     excluded_upstreams: tuple[UpstreamName, ...] = ()
     route_hash: int = 0
@@ -91,8 +92,8 @@
 
     number: int
     upstream: UpstreamName
-    address: str
-    hedge_delay_seconds: float
+    address: Address
+    hedge_delay_seconds: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +114,7 @@
 
     number: int
     reason: RefusalReason
-    retry_after: float
+    retry_after: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,12 +126,12 @@
     """
 
     number: int
-    requester: str
+    requester: Address
     service: ServiceName
     domain: FailureDomain
     upstream: UpstreamName
     outcome: Outcome
-    duration_seconds: float
+    duration_seconds: Seconds
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libraries/validation/shallotspindle_validation/__init__.py
@@ -0,0 +1,1 @@
+"""Field types with bounds, and decoding of JSON documents of other writers."""
--- a/libraries/wire/shallotspindle_wire/codec.py
+++ b/libraries/wire/shallotspindle_wire/codec.py
@@ -2,7 +2,8 @@
 
 A message is a frozen data class. It is encoded as the msgpack array
 ``[protocol version, kind, fields...]``. Decoding any bytes returns a message or a typed
-failure and never raises.
+failure and never raises. The type of a field may be ``Annotated`` with a ``Constraint``
+that bounds its values; only decoding checks it.
 """
 
 import dataclasses
@@ -17,6 +18,7 @@
 import msgpack
 from expression import Error, Ok, Result
 
+from shallotspindle_core.bounds import Constraint
 from shallotspindle_core.failures import Failure
 
 PROTOCOL_VERSION = 1
@@ -144,6 +146,20 @@
     return _build_fixed_tuple_converters(inner_types)
 
 
+def _build_constrained_converters(
+    inner_type: Any, constraints: tuple[Constraint, ...]
+) -> tuple[Converter, Converter]:
+    pack, unpack = _build_converters(inner_type)
+
+    def unpack_and_check(value: Any) -> Any:
+        unpacked = unpack(value)
+        if not all(constraint.accepts(unpacked) for constraint in constraints):
+            raise _Mismatch(f"out of bounds: {constraints}")
+        return unpacked
+
+    return pack, unpack_and_check
+
+
 def _build_type_converters(hint: type) -> tuple[Converter, Converter]:
     if hint is float:
         return _pass_unchanged, _unpack_float
@@ -162,6 +178,8 @@
         return _build_converters(hint.__supertype__)
     origin = typing.get_origin(hint)
     inner_types = typing.get_args(hint)
+    if origin is typing.Annotated:
+        return _build_constrained_converters(hint.__origin__, hint.__metadata__)
     if origin is tuple:
         return _build_tuple_converters(inner_types)
     if origin in (types.UnionType, typing.Union):
@@ -183,7 +201,7 @@
 def _build_class_converter(cls: type) -> _ClassConverter:
     if not dataclasses.is_dataclass(cls) or not cls.__dataclass_params__.frozen:
         raise TypeError(f"{cls.__name__} is not a frozen data class")
-    hints = typing.get_type_hints(cls)
+    hints = typing.get_type_hints(cls, include_extras=True)
     fields = dataclasses.fields(cls)
     converters = [_build_converters(hints[field.name]) for field in fields]
     return _ClassConverter(
@@ -261,7 +279,7 @@
         try:
             return Ok(class_converter.unpack(values[HEADER_FIELD_COUNT:]))
         except _Mismatch as error:
-            message = f"a field of {kind} has the wrong type"
+            message = f"a field of {kind} has the wrong type or is out of bounds"
             return Error(Malformed("message", message, str(error)))
 
     @staticmethod
