Follow the store past entries that another writer replaced

Cause: a member or partition with the value 5, null, nested brackets or an infinite capacity ended the task that follows the store (TypeError, RecursionError), so an instance learned of no upstream any more until it was replaced. A partition with such a value never got a holder again, and its teams were refused. An entry above 64 KB fitted into no datagram, so every instance would have watched the store itself. A response with status 421 or with the not-run header was believed before its request id was compared, so a refusal of another request counted as proof.

Change: stored_forms.py reads and writes members and holders with bounds on each field. A member whose entry turns odd counts as ended. A partition without a readable holder is acquired anew by the preferred holder after the time of a lease, by a conditional write on the odd revision. Oversized entries lose their value. The request id decides before the status. The follower, the lease task, the lender, the peer transport and the forwarder each catch an unexpected error of one message at one place, log its first tracebacks and count it in shallotspindle_unexpected_errors_total; an attempt at an upstream that ends so counts as one that may have run.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -32,6 +32,7 @@
 from shallotspindle_gateway.slot_requester import SlotRequester
 from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_gateway.storage import Decoder, Store
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LISTEN_BACKLOG = 1024
 
@@ -74,19 +75,28 @@
         self._early_reloads = early_reloads or EarlyReloads()
         self._clock = clock
         random_source = random.SystemRandom()
+        errors = UnexpectedErrors()
         self._lifecycle = Lifecycle()
         self._callers = create_listener(settings.callers)
         self._callers_port = self._callers.getsockname()[1]
         readiness = create_listener(settings.readiness)
         metrics = create_listener(settings.metrics)
         self.peers = PeerTransport(
-            create_datagram_socket(settings.peers), messages.MESSAGE_TYPES
+            create_datagram_socket(settings.peers), messages.MESSAGE_TYPES, errors
         )
         own_instance = Member(self.peers.address, settings.domain, settings.capacity)
-        self.follower = StoreFollower(own_instance, store, decoder, self.peers, clock)
+        self.follower = StoreFollower(
+            own_instance, store, decoder, self.peers, clock, errors
+        )
         renewals = PeerRenewals(store, self.follower, self.peers)
         self.ownership = PartitionOwnership(
-            own_instance, secrets.token_hex(8), store, self.follower, renewals, clock
+            own_instance,
+            secrets.token_hex(8),
+            store,
+            self.follower,
+            renewals,
+            clock,
+            errors,
         )
         self._lender = SlotLender(
             own_instance,
@@ -95,13 +105,14 @@
             settings.bounds,
             clock,
             random_source,
+            errors,
         )
         slot_requester = SlotRequester(
             own_instance, self.follower, self.peers, clock, random_source
         )
         names = settings.headers
         forwarder = Forwarder(
-            names.request_id, names.not_run, clock, settings.response_limits
+            names.request_id, names.not_run, clock, settings.response_limits, errors
         )
         self._admission = Admission(
             self.follower, self.ownership, self.peers, clock, settings.bounds
@@ -114,7 +125,7 @@
             clock,
             random_source,
         )
-        reporter = Reporter(settings.name, self.follower, clock)
+        reporter = Reporter(settings.name, self.follower, clock, errors)
         self._frontend = Frontend(
             settings, self._pipeline, self._lifecycle, reporter, clock, self._callers
         )
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -12,8 +12,7 @@
 """
 
 import asyncio
-import json
-from collections.abc import Callable, Set
+from collections.abc import Callable, Coroutine, Set
 from typing import Any
 
 from absl import logging
@@ -24,11 +23,18 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.interface import StoreFailure
+from shallotspindle_gateway import stored_forms
 from shallotspindle_gateway.changelog import ChangeLog, ViewFreshness
 from shallotspindle_gateway.election import rank_members
 from shallotspindle_gateway.messages import ChangesRequest, ChangesResponse
 from shallotspindle_gateway.peers import PeerTransport
-from shallotspindle_gateway.records import EMPTY_CONFIGURATION, Configuration, Member
+from shallotspindle_gateway.records import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    Member,
+    PartitionHolder,
+    UnreadableHolder,
+)
 from shallotspindle_gateway.storage import (
     Changes,
     Decoder,
@@ -38,9 +44,8 @@
     StoredValue,
 )
 from shallotspindle_registry.directory import OUTAGE_GRACE_SECONDS, UpstreamDirectory
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
-MEMBER_PREFIX = "members/"
-PARTITION_PREFIX = "limits/"
 # Each pending watch is a call to the store. If the watcher of a domain fails, watchers
 # of other domains replace it.
 WATCHERS_PER_DOMAIN = 1
@@ -82,6 +87,8 @@
     """Owns the view of the store; others read it and are notified of changes.
 
     :param own_instance: this instance.
+    :param errors: counts unexpected errors. An error while one call, entry or listener
+        is handled must not stop the following of the store.
     """
 
     def __init__(
@@ -91,10 +98,12 @@
         decoder: Decoder,
         peers: PeerTransport,
         clock: Clock,
+        errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._own_instance = own_instance
+        self._errors = errors
         self.store = store
         self._decoder = decoder
         self._peers = peers
@@ -115,7 +124,7 @@
         self.members: dict[str, Member] = {}
         # Instances whose membership ended, with the boot-time of that in seconds.
         self._former_members: dict[Member, float] = {}
-        self.partitions: dict[str, StoredValue] = {}
+        self.partitions: dict[str, PartitionHolder | UnreadableHolder] = {}
         peers.register(ChangesRequest, self._handle_request)
 
     @property
@@ -134,7 +143,7 @@
     async def start(self) -> None:
         self.start_event.set()
         while not self._log.revision:
-            await self._read_all()
+            await self._run_step("first read of the store", self._read_all)
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._follow_store())
             tasks.create_task(self._follow_peers())
@@ -143,24 +152,33 @@
         """Watch the store while no watcher is fresh; a watcher always does."""
         while True:
             await self._must_watch.wait()
-            await self._watch()
+            await self._run_step("watch of the store", self._watch)
 
     async def _follow_peers(self) -> None:
         """Poll the watchers, and other peers too while the store does not respond."""
         while True:
-            if await self._poll_watchers():
-                self._must_watch.clear()
-                self._failing_since = None
-            else:
-                self._must_watch.set()
-                if self._is_store_unresponsive():
-                    addresses = [
-                        *self._list_remote_watchers(),
-                        *self.list_peers_to_ask(),
-                    ]
-                    await self._poll_peers(addresses)
+            await self._run_step("poll of the peers", self._poll)
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    async def _run_step(
+        self, kind: str, step: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> None:
+        """Run one call; an unexpected error ends only that call."""
+        with self._errors.absorb(kind):
+            await step()
+            return
+        await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+    async def _poll(self) -> None:
+        if await self._poll_watchers():
+            self._must_watch.clear()
+            self._failing_since = None
+            return
+        self._must_watch.set()
+        if self._is_store_unresponsive():
+            addresses = [*self._list_remote_watchers(), *self.list_peers_to_ask()]
+            await self._poll_peers(addresses)
+
     async def _poll_watchers(self) -> bool:
         """Fetch changes from a watcher, unless this instance is one."""
         watchers = self.rank_watchers()
@@ -194,7 +212,8 @@
         """Apply all values, unless a peer has sent later ones meanwhile."""
         if snapshot.revision >= self._log.revision:
             self._full_read_at = sent_at
-            self._apply(self._log.diff_snapshot(snapshot))
+            values = tuple(map(self._limit_size, snapshot.values))
+            self._apply(self._log.diff_snapshot(Snapshot(values, snapshot.revision)))
 
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it responded."""
@@ -230,7 +249,17 @@
         outdated response would therefore revert changes that are known by now.
         """
         if changes.revision >= self._log.revision:
-            self._apply(changes)
+            events = tuple(
+                event if isinstance(event, str) else self._limit_size(event)
+                for event in changes.events
+            )
+            self._apply(Changes(events, changes.revision))
+
+    def _limit_size(self, stored: StoredValue) -> StoredValue:
+        """Drop the value of an oversized entry; a configuration may be large."""
+        if self._decoder.is_configuration(stored.key):
+            return stored
+        return stored_forms.drop_oversized_value(stored)
 
     def _record_store_response(self, sent_at: float, complete_until: float) -> bool:
         """Record a response; return whether the store was unavailable before it.
@@ -401,10 +430,11 @@
     def _apply(self, changes: Changes) -> None:
         now = self._clock.boottime()
         for event in self._log.add(changes):
-            if isinstance(event, StoredValue):
-                self._apply_value(event, now)
-            else:
-                self._apply_removal(event, now)
+            with self._errors.absorb("entry of the store"):
+                if isinstance(event, StoredValue):
+                    self._apply_value(event, now)
+                else:
+                    self._apply_removal(event, now)
         if changes.events:
             self._notify()
 
@@ -413,20 +443,23 @@
             self._apply_configuration(stored.value)
         elif self._decoder.is_announcement(stored.key):
             self._apply_announcement(stored, now)
-        elif stored.key.startswith(MEMBER_PREFIX):
-            self._apply_member(stored)
-        elif stored.key.startswith(PARTITION_PREFIX):
-            self.partitions[stored.key] = stored
+        elif stored.key.startswith(stored_forms.MEMBER_PREFIX):
+            self._apply_member(stored, now)
+        elif stored.key in stored_forms.PARTITION_KEYS:
+            self._apply_partition(stored, now)
 
     def _apply_removal(self, key: str, now: float) -> None:
         if self._decoder.is_announcement(key):
             self.upstreams.remove_announcement(
                 self._decoder.get_upstream_name(key), now
             )
+        self._remove_member(key, now)
+        self.partitions.pop(key, None)
+
+    def _remove_member(self, key: str, now: float) -> None:
         member = self.members.pop(key, None)
         if member is not None:
             self._former_members[member] = now
-        self.partitions.pop(key, None)
 
     def _apply_announcement(self, stored: StoredValue, now: float) -> None:
         match self._decoder.decode_announcement(stored.key, stored.value):
@@ -438,13 +471,21 @@
                     self._decoder.get_upstream_name(stored.key), now
                 )
 
-    def _apply_member(self, stored: StoredValue) -> None:
-        try:
-            address, domain, capacity = json.loads(stored.value)
-        except ValueError as error:
-            logging.warning("ignored the invalid member %s: %s", stored.key, error)
-            return
-        self.members[stored.key] = Member(address, FailureDomain(domain), capacity)
+    def _apply_member(self, stored: StoredValue, now: float) -> None:
+        match stored_forms.decode_member(stored):
+            case Result(tag="ok", ok=member):
+                self.members[stored.key] = member
+            case Result(tag="error", error=failure):
+                logging.warning("ignored an invalid member: %s", failure)
+                self._remove_member(stored.key, now)
+
+    def _apply_partition(self, stored: StoredValue, now: float) -> None:
+        match stored_forms.decode_holder(stored):
+            case Result(tag="ok", ok=holder):
+                self.partitions[stored.key] = holder
+            case Result(tag="error", error=failure):
+                logging.warning("a partition has no valid holder: %s", failure)
+                self.partitions[stored.key] = UnreadableHolder(stored.revision, now)
 
     def _apply_configuration(self, document: bytes) -> None:
         match self._decoder.decode_configuration(document):
@@ -461,4 +502,5 @@
 
     def _notify(self) -> None:
         for listener in self._listeners:
-            listener()
+            with self._errors.absorb("change of the store"):
+                listener()
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -17,6 +17,7 @@
 from shallotspindle_gateway.peers import RequestTimedOut
 from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.storage import Changes, Snapshot, StoredValue
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 OWN_INSTANCE = Member("10.0.0.1:1", FailureDomain("a"), 1000.0)
 UPSTREAM = StoredValue("upstreams/u0", b'["10.9.0.1:80", "a"]', 2)
@@ -107,7 +108,12 @@
 ) -> AsyncIterator[StoreFollower]:
     """Run a follower that has read the store once."""
     follower = StoreFollower(
-        OWN_INSTANCE, store, DocumentDecoder(), peers, SystemClock()
+        OWN_INSTANCE,
+        store,
+        DocumentDecoder(),
+        peers,
+        SystemClock(),
+        UnexpectedErrors(),
     )
     follower.set_loop(asyncio.get_running_loop())
     task = asyncio.create_task(follower.start())
@@ -242,6 +248,7 @@
             DocumentDecoder(),
             ScriptedPeers(),
             SystemClock(),
+            UnexpectedErrors(),
         )
         follower._apply(Changes((UPSTREAM,), 10))
         follower._apply_unless_outdated(Changes(events, revision))
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -27,6 +27,7 @@
     find_fault,
 )
 from shallotspindle_lending.records import Outcome
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 CONNECT_TIMEOUT_SECONDS = 0.08
 # Also bounds the chunks that are parsed without a pause: 256, 0.5 ms of processor time.
@@ -93,6 +94,8 @@
     :param request_id_header: header that matches a response with its request.
     :param not_run_header: header by which an upstream states that it did not run a
         request.
+    :param errors: counts unexpected errors. An attempt that ends with one must still
+        have a result, since its slot is returned with it.
     """
 
     def __init__(
@@ -101,9 +104,11 @@
         not_run_header: str,
         clock: Clock,
         limits: ResponseLimits,
+        errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._errors = errors
         self._request_id_header = request_id_header
         self._not_run_header = not_run_header
         self._clock = clock
@@ -173,6 +178,10 @@
             fault = find_fault(error)
             # Its frames refer to the response body; see _read_body.
             error.__traceback__ = None
+        except Exception:
+            # Says nothing about the upstream, which may have run the request.
+            self._errors.record("attempt at an upstream")
+            outcome, response, did_not_run = Outcome.CANCELLED, None, False
         duration_seconds = self._clock.boottime() - started_at
         return AttemptResult(outcome, response, did_not_run, duration_seconds, fault)
 
@@ -234,15 +243,16 @@
     def _classify_response(
         self, request: UpstreamRequest, response: aiohttp.ClientResponse, body: bytes
     ) -> tuple[Outcome, UpstreamResponse | None, bool]:
+        # First of all: a refusal of another request proves nothing about this one.
+        sent_id = request.headers.get(self._request_id_header)
+        received_id = response.headers.get(self._request_id_header)
+        if received_id is not None and received_id != sent_id:
+            return Outcome.TRUNCATED, None, False
         status = response.status
         if status == MISDIRECTED_REQUEST:
             return Outcome.MISDIRECTED, None, True
         if status in NOT_RUN_STATUSES and self._not_run_header in response.headers:
             return Outcome.SHED, None, True
-        sent_id = request.headers.get(self._request_id_header)
-        received_id = response.headers.get(self._request_id_header)
-        if received_id is not None and received_id != sent_id:
-            return Outcome.TRUNCATED, None, False
         upstream_response = UpstreamResponse(
             status, response.reason or "", response.headers.copy(), body
         )
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -2,7 +2,7 @@
 import json
 import socket
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 import pytest_asyncio
@@ -13,6 +13,7 @@
 from shallotspindle_gateway.conftest import NAMES
 from shallotspindle_gateway.forwarding import Forwarder, UpstreamRequest
 from shallotspindle_lending.records import Outcome
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 MEBIBYTE = 1024 * 1024
 LIMITS = ResponseLimits(max_body_bytes=MEBIBYTE, max_total_bytes=4 * MEBIBYTE)
@@ -149,7 +150,9 @@
 
 @pytest_asyncio.fixture
 async def forwarder() -> AsyncIterator[Forwarder]:
-    created = Forwarder(NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS)
+    created = Forwarder(
+        NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS, UnexpectedErrors()
+    )
     await created.start()
     yield created
     await created.stop()
@@ -289,6 +292,52 @@
         assert result.outcome is Outcome.COMPLETE
 
 
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("status", "extra_line", "outcome"),
+        [
+            (421, "", Outcome.MISDIRECTED),
+            (503, f"{NAMES.not_run}: 1\r\n", Outcome.SHED),
+            (429, f"{NAMES.not_run}: 1\r\n", Outcome.SHED),
+        ],
+    )
+    @pytest.mark.parametrize("names_request", [True, False])
+    async def test_only_a_refusal_of_this_request_proves_that_it_did_not_run(
+        self, forwarder, upstreams, status, extra_line, outcome, names_request
+    ):
+        # Guards against an earlier refusal that is written once more: its receiver
+        # would be told that the request did not run, or it would run twice.
+        named_id = "r1" if names_request else "another"
+        start = (
+            f"HTTP/1.1 {status} Refused\r\n{NAMES.request_id}: {named_id}\r\n"
+            f"{extra_line}Content-Length: 0\r\n\r\n"
+        )
+        address = await upstreams.add(EndlessUpstream(start.encode(), b"x"))
+        request = replace(
+            build_request(address, "POST"), headers={NAMES.request_id: "r1"}
+        )
+        result = await forwarder.send(request)
+        assert result.did_not_run is names_request
+        assert result.outcome is (outcome if names_request else Outcome.TRUNCATED)
+
+
+class TestUnexpectedErrors:
+    async def test_an_error_of_our_own_still_has_a_result(self, upstreams):
+        # Guards against a slot that is never returned, and against a request that is
+        # reported as not run although it was sent.
+        errors = UnexpectedErrors()
+        forwarder = Forwarder(
+            NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS, errors
+        )
+        await forwarder.start()
+        address = await upstreams.add(EndlessUpstream(COMPLETE_RESPONSE, b"x"))
+        request = replace(build_request(address), headers={"a": "b\r\nc"})
+        result = await forwarder.send(request)
+        await forwarder.stop()
+        assert (result.outcome, result.did_not_run) == (Outcome.CANCELLED, False)
+        assert errors.counts == {"attempt at an upstream": 1}
+
+
 class TestResponseMemory:
     async def test_all_endless_responses_share_one_memory_limit(self, upstreams):
         # Guards against several responses that are each within their limit and together
@@ -296,7 +345,9 @@
         limits = ResponseLimits(
             max_body_bytes=64 * MEBIBYTE, max_total_bytes=2 * MEBIBYTE
         )
-        forwarder = Forwarder(NAMES.request_id, NAMES.not_run, SystemClock(), limits)
+        forwarder = Forwarder(
+            NAMES.request_id, NAMES.not_run, SystemClock(), limits, UnexpectedErrors()
+        )
         await forwarder.start()
         upstream = EndlessUpstream(OK + b"\r\n", b"x")
         address = await upstreams.add(upstream)
--- a/libraries/gateway/shallotspindle_gateway/ownership.py
+++ b/libraries/gateway/shallotspindle_gateway/ownership.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import json
 from typing import Any
 
 from absl import logging
@@ -19,17 +18,23 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_environment.interface import Conflict, StoreFailure
+from shallotspindle_gateway import stored_forms
 from shallotspindle_gateway.election import rank_members
-from shallotspindle_gateway.following import (
-    MEMBER_PREFIX,
-    PARTITION_PREFIX,
-    StoreFollower,
+from shallotspindle_gateway.following import StoreFollower
+from shallotspindle_gateway.records import (
+    Member,
+    PartitionHolder,
+    UnreadableHolder,
 )
-from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.renewals import PeerRenewals
-from shallotspindle_gateway.storage import Lease, LeaseEnded, Store, StoredValue
+from shallotspindle_gateway.storage import Lease, LeaseEnded, Store
+from shallotspindle_gateway.stored_forms import (
+    PARTITION_COUNT,
+    PARTITION_KEYS,
+    PARTITION_PREFIX,
+)
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
-PARTITION_COUNT = 16
 LEASE_SECONDS = 3.0
 RENEWAL_INTERVAL_SECONDS = 1.2
 # Without this delay the first instances of a starting fleet would acquire all
@@ -43,16 +48,12 @@
     return f"{PARTITION_PREFIX}{hashing.hash_text('team', team) % PARTITION_COUNT}"
 
 
-PARTITION_KEYS = tuple(
-    f"{PARTITION_PREFIX}{number}" for number in range(PARTITION_COUNT)
-)
-
-
 class PartitionOwnership(Service):
     """Owns the lease; knows the holders and whether this instance may act.
 
     :param own_instance: this instance.
     :param incarnation: distinguishes this process from earlier ones at its address.
+    :param errors: counts unexpected errors; the lease must be renewed after one.
     """
 
     def __init__(
@@ -63,12 +64,14 @@
         follower: StoreFollower,
         renewals: PeerRenewals,
         clock: Clock,
+        errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._own_instance = own_instance
-        self._value = json.dumps([own_instance.address, incarnation]).encode()
-        self._member_key = MEMBER_PREFIX + incarnation
+        self._incarnation = incarnation
+        self._member_key = stored_forms.MEMBER_PREFIX + incarnation
+        self._errors = errors
         self._store = store
         self._follower = follower
         self._renewals = renewals
@@ -83,7 +86,7 @@
         # When this instance acquired each partition, as boot-time in seconds.
         self._held_since: dict[str, float] = {}
         # Writes of this instance that the view of the store does not show yet.
-        self._pending_writes: dict[str, StoredValue] = {}
+        self._pending_writes: dict[str, PartitionHolder] = {}
         follower.subscribe(self._handle_store_change)
 
     def find_held_since(self, partition: str, now: float) -> float | None:
@@ -100,13 +103,13 @@
 
         :param partition: key of the partition.
         """
-        value = self._find_value(partition)
-        if value is None:
-            return None
-        return json.loads(value.value)[0]
+        holder = self._find_registered(partition)
+        return holder.address if isinstance(holder, PartitionHolder) else None
 
-    def _find_value(self, partition: str) -> StoredValue | None:
-        """Return the value of a partition's key as last read or written."""
+    def _find_registered(
+        self, partition: str
+    ) -> PartitionHolder | UnreadableHolder | None:
+        """Return what is registered for a partition, as last read or written."""
         written = self._pending_writes.get(partition)
         if written is not None and written.revision > self._follower.revision:
             return written
@@ -115,7 +118,9 @@
     async def start(self) -> None:
         self.start_event.set()
         while not self._is_leaving:
-            delay = await self._maintain()
+            delay = RETRY_DELAY_SECONDS
+            with self._errors.absorb("lease of this instance"):
+                delay = await self._maintain()
             self._wakeup.clear()
             try:
                 await asyncio.wait_for(self._wakeup.wait(), delay)
@@ -139,11 +144,10 @@
             self._follower.partitions
         )
         for key in PARTITION_KEYS:
-            value = self._find_value(key)
-            if value is None or value.value != self._value:
-                self._held_since.pop(key, None)
-            else:
+            if self._is_own(self._find_registered(key)):
                 self._held_since.setdefault(key, now)
+            else:
+                self._held_since.pop(key, None)
         if self._list_free_partitions():
             self._wakeup.set()
 
@@ -175,10 +179,7 @@
             case Result(tag="error", error=failure):
                 logging.warning("the store granted no lease: %s", failure)
                 return False
-        own_instance = self._own_instance
-        value = json.dumps(
-            [own_instance.address, own_instance.domain, own_instance.capacity]
-        ).encode()
+        value = stored_forms.encode_member(self._own_instance)
         written = await self._store.write_if_unchanged(
             {self._member_key: value}, {}, self._lease.lease_id
         )
@@ -233,14 +234,25 @@
             return {}
         free = {}
         for key in PARTITION_KEYS:
-            value = self._find_value(key)
-            if value is None:
-                if self._may_acquire_unheld(now) and self._is_preferred_holder(key):
-                    free[key] = 0
-            elif self._is_held_by_former_process(value):
-                free[key] = value.revision
+            holder = self._find_registered(key)
+            if self._is_held_by_former_process(holder):
+                free[key] = holder.revision
+            elif self._is_unheld(holder, now) and self._is_preferred_holder(key):
+                free[key] = holder.revision if holder else 0
         return free
 
+    def _is_unheld(
+        self, holder: PartitionHolder | UnreadableHolder | None, now: float
+    ) -> bool:
+        """Return whether no instance acts on a partition, so that it may be acquired.
+
+        The holder of an entry that another writer replaced keeps its lease. It acts
+        until it sees the change, which takes less time than a lease lasts.
+        """
+        if isinstance(holder, UnreadableHolder):
+            return now - holder.seen_at >= LEASE_SECONDS
+        return holder is None and self._may_acquire_unheld(now)
+
     def _may_acquire_unheld(self, now: float) -> bool:
         """Return whether partitions that have no holder may be acquired."""
         return self._is_fleet_running or now - self._started_at >= STARTUP_DELAY_SECONDS
@@ -251,10 +263,22 @@
         )
         return ranked[0] == self._own_instance.address
 
-    def _is_held_by_former_process(self, value: StoredValue) -> bool:
+    def _is_held_by_former_process(
+        self, holder: PartitionHolder | UnreadableHolder | None
+    ) -> bool:
         """Return whether the holder is an earlier process at this address."""
-        return value.value != self._value and (
-            json.loads(value.value)[0] == self._own_instance.address
+        return (
+            isinstance(holder, PartitionHolder)
+            and holder.address == self._own_instance.address
+            and holder.incarnation != self._incarnation
+        )
+
+    def _is_own(self, holder: PartitionHolder | UnreadableHolder | None) -> bool:
+        """Return whether the holder is this process."""
+        return (
+            isinstance(holder, PartitionHolder)
+            and holder.address == self._own_instance.address
+            and holder.incarnation == self._incarnation
         )
 
     async def _acquire_free_partitions(self) -> bool:
@@ -274,7 +298,9 @@
 
         :param expected: revision that each partition's key must have.
         """
-        values = dict.fromkeys(expected, self._value)
+        address = self._own_instance.address
+        value = stored_forms.encode_holder(address, self._incarnation)
+        values = dict.fromkeys(expected, value)
         written = await self._store.write_if_unchanged(
             values, expected, self._lease.lease_id
         )
@@ -284,6 +310,8 @@
         now = self._clock.boottime()
         for key in expected:
             self._held_since[key] = now
-            self._pending_writes[key] = StoredValue(key, self._value, written.ok)
+            self._pending_writes[key] = PartitionHolder(
+                address, self._incarnation, written.ok
+            )
         logging.info("acquired %d partitions", len(expected))
         return written
--- a/libraries/gateway/shallotspindle_gateway/peers.py
+++ b/libraries/gateway/shallotspindle_gateway/peers.py
@@ -15,7 +15,10 @@
 from absl import logging
 from aiomisc import Service
 
+from shallotspindle_core import addresses
+from shallotspindle_core.addresses import SocketAddress
 from shallotspindle_core.failures import Failure
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.envelopes import Ask, Reply, Tell
 
@@ -71,12 +74,19 @@
 
     :param listener: bound datagram socket.
     :param message_types: all messages that other tasks send or respond with.
+    :param errors: counts unexpected errors. A datagram whose handler fails must not
+        keep the other datagrams from being handled.
     """
 
     def __init__(
-        self, listener: socket.socket, message_types: Iterable[type], **kwargs: Any
+        self,
+        listener: socket.socket,
+        message_types: Iterable[type],
+        errors: UnexpectedErrors,
+        **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._errors = errors
         self._listener = listener
         self._envelope_codec = Codec((Ask, Reply, Tell))
         self._message_codec = Codec(message_types)
@@ -151,11 +161,18 @@
     def _write(self, address: str, envelope: Any) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        host, _, port = address.rpartition(":")
+        target = addresses.parse_address(address)
+        if not isinstance(target, SocketAddress):
+            logging.warning("dropped a message to a peer: %s", target)
+            return
         data = compress(self._envelope_codec.encode(envelope))
-        self._transport.sendto(data, (host, int(port)))
+        self._transport.sendto(data, (target.host, target.port))
 
     def _receive(self, data: bytes, sender_address: tuple[str, int]) -> None:
+        with self._errors.absorb("message of a peer"):
+            self._handle_datagram(data, sender_address)
+
+    def _handle_datagram(self, data: bytes, sender_address: tuple[str, int]) -> None:
         decoded = self._envelope_codec.decode(decompress(data))
         if decoded.is_error():
             logging.warning("ignored an invalid datagram: %s", decoded.error)
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -69,6 +69,32 @@
     capacity: float = 1000.0
 
 
+@dataclass(frozen=True, slots=True)
+class PartitionHolder:
+    """The holder of a partition of the rate limits, as registered in the store.
+
+    :param address: ``ip:port`` of the holder's socket for other instances.
+    :param incarnation: distinguishes the process from earlier ones at its address.
+    :param revision: revision of the write that registered it.
+    """
+
+    address: str
+    incarnation: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableHolder:
+    """Another writer replaced the holder of a partition by a value that names none.
+
+    :param revision: revision of that write.
+    :param seen_at: when this instance read the value, as boot-time in seconds.
+    """
+
+    revision: int
+    seen_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """An IP address and a port."""
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -17,6 +17,7 @@
 from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.pipeline import RequestTrace
 from shallotspindle_gateway.problems import Problem
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
 LineWriter = Callable[[str], object]
@@ -33,16 +34,21 @@
 
 
 class Reporter:
-    """Writes the log line of each request and updates the metrics."""
+    """Writes the log line of each request and updates the metrics.
+
+    :param errors: the unexpected errors of the instance, for the metrics.
+    """
 
     def __init__(
         self,
         instance_name: str,
         follower: StoreFollower,
         clock: Clock,
+        errors: UnexpectedErrors,
         write: LineWriter | None = None,
     ) -> None:
         self._instance_name = instance_name
+        self._errors = errors
         self.follower = follower
         self._clock = clock
         self._write = write or sys.stdout.write
@@ -64,6 +70,11 @@
             buckets=LATENCY_BUCKETS,
             registry=self._registry,
         )
+        self._error_counter = Counter(
+            "shallotspindle_unexpected_errors_total",
+            "Unexpected errors by what was being handled; each is a fault to report.",
+            registry=self._registry,
+        )
         self._state_gauge = Gauge(
             "shallotspindle_state",
             "Version in force, age of its confirmation and log lines left out.",
@@ -125,4 +136,6 @@
         self._state_gauge.set(
             {"value": "lines_left_out"}, self._log_limiter.dropped_lines
         )
+        for kind, count in self._errors.counts.items():
+            self._error_counter.set({"kind": kind}, count)
         return render(self._registry, ["text/plain"])
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -10,12 +10,14 @@
 from shallotspindle_gateway.pipeline import RequestStep, RequestTrace
 from shallotspindle_gateway.reporting import Reporter
 from shallotspindle_lending.records import Outcome, RefusalReason
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 METRICS = {
     "# TYPE shallotspindle_answer_seconds histogram",
     "# TYPE shallotspindle_answers_total counter",
     "# TYPE shallotspindle_sends_total counter",
     "# TYPE shallotspindle_state gauge",
+    "# TYPE shallotspindle_unexpected_errors_total counter",
 }
 
 
@@ -25,7 +27,9 @@
         configuration=SimpleNamespace(bundle=SimpleNamespace(version=4)),
         compute_confirmation_age=lambda now: 1.5,
     )
-    reporter = Reporter("g", follower, SystemClock(), written.append)
+    reporter = Reporter(
+        "g", follower, SystemClock(), UnexpectedErrors(), written.append
+    )
     trace = RequestTrace("id-1", 4, 1.6641, "route-1", "team-1", "service-1", "busy")
     trace.step = RequestStep.SENT
     trace.attempts.append(
--- a/libraries/gateway/shallotspindle_gateway/slot_lender.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_lender.py
@@ -31,6 +31,7 @@
 from shallotspindle_lending.scheduler import AddressedDecision, SlotScheduler
 from shallotspindle_lending.upstreams import FAILURE_OUTCOMES
 from shallotspindle_retries.budget import RetryBudget
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 # Fraction of the fleet's retry budget that the lenders grant. The rest covers a second
 # lender after a change of members, and checks whose windows do not match the lenders'.
@@ -40,7 +41,10 @@
 
 
 class SlotLender(Service):
-    """Owns the slot schedulers of this instance, by service and failure domain."""
+    """Owns the slot schedulers of this instance, by service and failure domain.
+
+    :param errors: counts unexpected errors; one scheduler must not stop the others.
+    """
 
     def __init__(
         self,
@@ -50,9 +54,11 @@
         bounds: Bounds,
         clock: Clock,
         random: RandomSource,
+        errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._errors = errors
         self._own_instance = own_instance
         self._follower = follower
         self._peers = peers
@@ -76,7 +82,8 @@
             now = self._clock.boottime()
             for scheduler in self._schedulers.values():
                 if scheduler.queue_length:
-                    self._send_decisions(scheduler.advance(now))
+                    with self._errors.absorb("queue of slot requests"):
+                        self._send_decisions(scheduler.advance(now))
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Set new bounds; the schedulers start new windows of the retry budget."""
