Check what the entry daemon reads from its store, list and peers

A deeply nested response of the store or of the list raised RecursionError out of the client and ended the task that polls it; a manifest of nested brackets did so in the search for the line of the error; 1e999 in a session record, an ownership table or a revision raised OverflowError; a peer with the port 99999 raised OverflowError in the dial, so that the messages queued for it were kept for good; one key that is no UTF-8 hid all other keys of a prefix; one odd group hid the whole list.

Change: responses of the etcd gateway and groups of the list are models. A group that turns odd may hide an instance that still acts, so while there is one, all instances of the last complete list stay listed. Tables and handed-over claims are decoded to results in place of five kinds of exception; a table is limited to 1 MB after decompression. Numbers of bundles, deltas, manifests, audit records and settings have bounds. InboxTask, the peer transport, the bundle followers and the loops of the ownership task absorb an unexpected error of one message and count it in shallotspindle_unexpected_errors_total.

--- a/libraries/entry/shallotspindle_entry/bundle_following.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following.py
@@ -21,6 +21,7 @@
 from shallotspindle_entry.interfaces import PeerMessaging
 from shallotspindle_environment.interface import Conflict, Store
 from shallotspindle_settings import manifest, withdrawal
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 RETRY_INTERVAL_SECONDS = 1.0
 # Interval at which an instance checks whether it has become a watcher.
@@ -63,6 +64,7 @@
     """Polls the manifest in the store, and watches it if this instance is a watcher.
 
     :param list_peers: returns the incarnations of the usable peers.
+    :param errors: counts unexpected errors; one read must not be the last one.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         clock: Clock,
         own_incarnation: Incarnation,
         list_peers: Callable[[], tuple[Incarnation, ...]],
+        errors: UnexpectedErrors,
     ) -> None:
+        self._errors = errors
         self.source = StoreSource(store)
         self.last_contact_at = -math.inf
         self._store = store
@@ -96,16 +100,20 @@
         """Poll and watch until cancelled."""
         watcher = asyncio.create_task(self.watch_while_assigned())
         try:
-            await self.poll()
+            await self._poll_once()
             # Spreads the polls of instances that start at the same time.
             delay_fraction = hashing.hash_text(self._own_incarnation) / 2**64
             await self._wait(delay_fraction * self.compute_poll_interval())
             while True:
-                await self.poll()
+                await self._poll_once()
                 await self._wait(self.compute_poll_interval())
         finally:
             watcher.cancel()
 
+    async def _poll_once(self) -> None:
+        with self._errors.absorb("bundle of the store"):
+            await self.poll()
+
     async def _wait(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -171,7 +179,8 @@
         """Watch the manifest while this instance is one of the watchers."""
         while True:
             if versions.is_watcher(self._own_incarnation, self._list_peers()):
-                await self.watch()
+                with self._errors.absorb("watch of the store"):
+                    await self.watch()
                 await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             else:
                 await asyncio.sleep(WATCHER_CHECK_SECONDS)
@@ -190,6 +199,7 @@
     """Loads what peers push, and pulls what their heartbeats show to be missing.
 
     :param domains: all failure domains of the fleet.
+    :param errors: counts unexpected errors; one peer must not stop the others.
     """
 
     def __init__(
@@ -198,7 +208,9 @@
         owner: BundleOwner,
         own_instance: Instance,
         domains: frozenset[FailureDomain],
+        errors: UnexpectedErrors,
     ) -> None:
+        self._errors = errors
         self._peers = peers
         self._owner = owner
         self._own_instance = own_instance
@@ -224,10 +236,13 @@
     async def run(self) -> None:
         """Synchronize with peers until cancelled."""
         while True:
-            if not self._owner.is_ready:
-                await self.become_ready_from_peers()
-            await self._wait()
-            await self.synchronize()
+            with self._errors.absorb("bundle of a peer"):
+                if not self._owner.is_ready:
+                    await self.become_ready_from_peers()
+                await self._wait()
+                await self.synchronize()
+                continue
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _wait(self) -> None:
         """Wait for a difference from a peer.
--- a/libraries/entry/shallotspindle_entry/claims.py
+++ b/libraries/entry/shallotspindle_entry/claims.py
@@ -8,11 +8,15 @@
 import json
 from collections.abc import Callable
 from dataclasses import astuple, dataclass
-from typing import Any, ClassVar, Protocol
+from typing import Annotated, Any, ClassVar, Protocol
 
 from absl import logging
+from expression import Error, Ok, Result
+from pydantic import Field, TypeAdapter
 
+from shallotspindle_core.bounds import MAX_SECONDS
 from shallotspindle_core.clock import Clock
+from shallotspindle_core.failures import Failure
 from shallotspindle_core.hashing import find_partition
 from shallotspindle_core.identifiers import (
     FailureDomain,
@@ -51,6 +55,8 @@
     ResponseDiscarded,
 )
 from shallotspindle_idempotency.response_cache import ResponseCache
+from shallotspindle_validation import documents
+from shallotspindle_validation.fields import Address, Name, Revision
 
 # Identifies the state in a handover.
 STATE_NAME = "claims"
@@ -113,6 +119,13 @@
     KIND: ClassVar[str] = "done"
 
 
+# The fields of a claim in the order of ``ClaimSnapshot``; the digests are in hex.
+ClaimSeconds = Annotated[float, Field(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{2})*$")]
+ClaimRow = tuple[Digest, Digest, Name, Address, Name, Revision, bool, ClaimSeconds]
+SNAPSHOT_ADAPTER = TypeAdapter(tuple[ClaimSeconds, list[ClaimRow]])
+
+
 def encode_snapshot(snapshot: LedgerSnapshot) -> bytes:
     """Encode the state of a ledger for a handover."""
     rows = [
@@ -124,17 +137,17 @@
     ).encode()
 
 
-def decode_snapshot(data: bytes) -> LedgerSnapshot:
-    """Decode the state of a ledger that was handed over.
-
-    :raises ValueError: or ``TypeError`` if the data is malformed.
-    """
-    quarantine, rows = json.loads(data)
+def decode_snapshot(data: bytes) -> Result[LedgerSnapshot, Failure]:
+    """Decode the state of a ledger that was handed over."""
+    decoded = documents.decode_with(SNAPSHOT_ADAPTER, "claims", data)
+    if decoded.is_error():
+        return Error(decoded.error)
+    quarantine_seconds, rows = decoded.ok
     claims = tuple(
         messages.ClaimSnapshot(bytes.fromhex(key_digest), bytes.fromhex(body), *rest)
         for key_digest, body, *rest in rows
     )
-    return LedgerSnapshot(float(quarantine), claims)
+    return Ok(LedgerSnapshot(quarantine_seconds, claims))
 
 
 class ClaimsTask(InboxTask):
@@ -302,15 +315,15 @@
     def _restore_ledger(message: PartitionGained, now: float) -> ClaimLedger:
         data = dict(message.states).get(STATE_NAME)
         if data is not None and not message.is_takeover:
-            try:
-                return ledgers.restore(decode_snapshot(data), now)
-            except (ValueError, TypeError) as error:
-                logging.error(
-                    "the handed-over claims of partition %d cannot be decoded and "
-                    "count as lost: %r",
-                    message.partition,
-                    error,
-                )
+            snapshot = decode_snapshot(data)
+            if snapshot.is_ok():
+                return ledgers.restore(snapshot.ok, now)
+            logging.error(
+                "the handed-over claims of partition %d cannot be decoded and count as "
+                "lost: %s",
+                message.partition,
+                snapshot.error,
+            )
         if data is None and message.epoch == 1:
             return ClaimLedger()
         return ClaimLedger(now + RETENTION_SECONDS)
--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -103,9 +103,12 @@
             clock or SystemClock(),
             own_instance.incarnation,
             self._list_peer_incarnations,
+            self.errors,
         )
         self._peer_follower = (
-            None if peers is None else PeerFollower(peers, self, own_instance, domains)
+            None
+            if peers is None
+            else PeerFollower(peers, self, own_instance, domains, self.errors)
         )
 
     def subscribe(self, listener: ConfigurationListener) -> None:
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -131,6 +131,8 @@
         self._metrics.set_state(version, self._lifecycle.running_requests)
         traffic = self._coordination.peers.traffic
         self._metrics.set_peer_traffic(traffic.sent_bytes, traffic.received_bytes)
+        for task in self._coordination.list_tasks():
+            self._metrics.set_unexpected_errors(task.errors.counts)
         return self._metrics.render()
 
     async def describe_upstreams(self) -> tuple[int, Any]:
--- a/libraries/entry/shallotspindle_entry/ownership.py
+++ b/libraries/entry/shallotspindle_entry/ownership.py
@@ -225,13 +225,12 @@
         stored = await self.store.get(records.TABLE_KEY)
         if stored.is_error():
             return None
-        try:
-            table = records.decode_table(stored.ok.data, stored.ok.revision)
-        except records.DECODE_ERRORS as error:
-            logging.error("the ownership table is damaged: %r", error)
+        table = records.decode_table(stored.ok.data, stored.ok.revision)
+        if table.is_error():
+            logging.error("the ownership table is damaged: %s", table.error)
             return None
-        await self.ask(TableUpdated(table))
-        return table
+        await self.ask(TableUpdated(table.ok))
+        return table.ok
 
     async def write_table(
         self, base: OwnershipTable, changes: Mapping[int, OwnershipEntry]
@@ -305,12 +304,10 @@
         self, step: Callable[[], Awaitable[bool]], interval: Callable[[], float]
     ) -> None:
         while True:
-            try:
+            succeeded = False
+            # The loop must go on: without renewals the session would expire.
+            with self.errors.absorb("step of the ownership task"):
                 succeeded = await step()
-            except Exception:
-                # The loop must go on: without renewals the session would expire.
-                logging.exception("a step of the ownership task failed")
-                succeeded = False
             wait = interval() if succeeded else min(interval(), RETRY_INTERVAL_SECONDS)
             # Jitter spreads the calls of instances that started together.
             await self.sleep(wait * (0.9 + 0.1 * self.random.random()))
--- a/libraries/entry/shallotspindle_entry/ownership_records.py
+++ b/libraries/entry/shallotspindle_entry/ownership_records.py
@@ -4,14 +4,42 @@
 import zlib
 from types import MappingProxyType
 
+from expression import Error, Ok, Result
+from pydantic import BaseModel, TypeAdapter
+
+from shallotspindle_core.failures import Failure
 from shallotspindle_core.hashing import PARTITION_COUNT
 from shallotspindle_core.identifiers import Incarnation, Instance
 from shallotspindle_ownership.table import OwnershipEntry, OwnershipTable
+from shallotspindle_validation import documents
+from shallotspindle_validation.fields import Counter, Name
 
 TABLE_KEY = "ownership/table"
 SESSION_PREFIX = "sessions/"
-# Errors that decoding a damaged value can raise.
-DECODE_ERRORS = (ValueError, TypeError, KeyError, IndexError, zlib.error)
+# A table of 770 holders has 70 KB.
+MAX_TABLE_BYTES = 1024 * 1024
+
+
+class TableColumns(BaseModel):
+    """The stored table.
+
+    :param indexes: for each partition the position of its holder, or -1 for none.
+    :param epochs: for each partition its epoch.
+    """
+
+    holders: list[Name]
+    indexes: list[int]
+    epochs: list[Counter]
+
+
+class SessionRecord(BaseModel):
+    """The part of a session record that is read."""
+
+    counter: Counter
+
+
+COLUMNS_ADAPTER = TypeAdapter(TableColumns)
+SESSION_ADAPTER = TypeAdapter(SessionRecord)
 
 
 def build_session_key(incarnation: Incarnation) -> str:
@@ -35,22 +63,32 @@
     return zlib.compress(json.dumps(columns, separators=(",", ":")).encode(), 9)
 
 
-def decode_table(data: bytes, revision: int) -> OwnershipTable:
-    """Decode the stored table.
-
-    :raises ValueError: or another of ``DECODE_ERRORS`` if the value is malformed.
-    """
+def decode_table(data: bytes, revision: int) -> Result[OwnershipTable, Failure]:
+    """Decode the stored table; a damaged one is a failure and never looks empty."""
     if revision == 0:
-        return OwnershipTable()
-    columns = json.loads(zlib.decompress(data))
-    holders = columns["holders"]
-    pairs = zip(columns["indexes"], columns["epochs"], strict=True)
+        return Ok(OwnershipTable())
+    try:
+        text = zlib.decompressobj().decompress(data, MAX_TABLE_BYTES)
+    except zlib.error as error:
+        return Error(Failure(TABLE_KEY, "the table is not compressed", str(error)))
+    decoded = documents.decode_with(COLUMNS_ADAPTER, TABLE_KEY, text)
+    return decoded.bind(lambda columns: _build_table(columns, revision))
+
+
+def _build_table(
+    columns: TableColumns, revision: int
+) -> Result[OwnershipTable, Failure]:
+    is_consistent = len(columns.indexes) == len(columns.epochs) <= PARTITION_COUNT
+    if not is_consistent or max(columns.indexes, default=-1) >= len(columns.holders):
+        return Error(Failure(TABLE_KEY, "the columns do not fit together"))
     entries = {
-        number: OwnershipEntry(Incarnation(holders[index]), int(epoch))
-        for number, (index, epoch) in enumerate(pairs)
+        number: OwnershipEntry(Incarnation(columns.holders[index]), epoch)
+        for number, (index, epoch) in enumerate(
+            zip(columns.indexes, columns.epochs, strict=True)
+        )
         if index >= 0
     }
-    return OwnershipTable(revision, MappingProxyType(entries))
+    return Ok(OwnershipTable(revision, MappingProxyType(entries)))
 
 
 def encode_session(own_instance: Instance, counter: int) -> bytes:
@@ -65,7 +103,5 @@
 
 def decode_counter(data: bytes) -> int:
     """Return the renewal counter of a session record, 0 if it is absent or damaged."""
-    try:
-        return int(json.loads(data)["counter"]) if data else 0
-    except DECODE_ERRORS:
-        return 0
+    decoded = documents.decode_with(SESSION_ADAPTER, SESSION_PREFIX, data)
+    return decoded.map(lambda record: record.counter).default_value(0)
--- a/libraries/entry/shallotspindle_entry/ownership_test.py
+++ b/libraries/entry/shallotspindle_entry/ownership_test.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import zlib
 from datetime import UTC, datetime
 
 import pytest
@@ -299,10 +300,30 @@
             for n in range(PARTITION_COUNT)
         }
         data = records.encode_table(records.OwnershipTable(1, entries))
-        assert records.decode_table(data, 1).entries == entries
+        assert records.decode_table(data, 1).ok.entries == entries
         assert len(data) < 20_000
 
-    def test_damaged_table_is_reported(self):
-        # Guards against taking a damaged table for an empty one.
-        with pytest.raises(records.DECODE_ERRORS):
-            records.decode_table(b"x", 1)
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"x",
+            zlib.compress(b"[" * 100_000),
+            zlib.compress(b"5"),
+            zlib.compress(b'{"holders": [], "indexes": [0], "epochs": [1]}'),
+            zlib.compress(b'{"holders": ["a"], "indexes": [0], "epochs": [1e999]}'),
+            zlib.compress(b'{"holders": ["a"], "indexes": [0, 0], "epochs": [1]}'),
+            zlib.compress(b'{"holders": ["a"], "indexes": [0], "epochs": [-1]}'),
+            zlib.compress(b" " * 100_000_000),
+        ],
+    )
+    def test_damaged_table_is_reported(self, data):
+        # Guards against taking a damaged table for an empty one, and against one that
+        # ends the task that reads it.
+        assert records.decode_table(data, 1).is_error()
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"5", b"[" * 100_000, b'{"counter": 1e999}', b'{"counter": -1}']
+    )
+    def test_damaged_session_has_no_renewals(self, data):
+        # Guards against a session record that ends the task that observes it.
+        assert records.decode_counter(data) == 0
--- a/libraries/entry/shallotspindle_entry/peers.py
+++ b/libraries/entry/shallotspindle_entry/peers.py
@@ -184,15 +184,19 @@
 
     async def _poll_list(self) -> None:
         while True:
-            listing = await self._instances.list()
-            if listing.is_error():
-                logging.warning("reading the instance list failed: %s", listing.error)
-            else:
-                listed = tuple(each.instance for each in listing.ok)
-                leaving = tuple(each.instance for each in listing.ok if each.is_leaving)
-                self.tell(InstancesListed(listed, leaving))
+            with self.errors.absorb("instance list"):
+                await self._read_list()
             await asyncio.sleep(LIST_INTERVAL_SECONDS)
 
+    async def _read_list(self) -> None:
+        listing = await self._instances.list()
+        if listing.is_error():
+            logging.warning("reading the instance list failed: %s", listing.error)
+            return
+        listed = tuple(each.instance for each in listing.ok)
+        leaving = tuple(each.instance for each in listing.ok if each.is_leaving)
+        self.tell(InstancesListed(listed, leaving))
+
     def _create_handshake_parameters(self) -> HandshakeParameters:
         nonce = bytes(self._random.randrange(256) for _ in range(frames.NONCE_BYTES))
         return HandshakeParameters(self._own_instance, self._secret, nonce)
@@ -364,9 +368,7 @@
             result = await handler(connection.stream.peer, message)
         except Exception:
             # The connection carries other messages too and must survive the error.
-            logging.exception(
-                "the handler of %s messages failed", type(message).__name__
-            )
+            self.errors.record(type(message).__name__)
             return
         if number is not None:
             self.tell(SendReply(connection, number, result))
--- a/libraries/entry/shallotspindle_entry/stored_form_test.py
+++ b/libraries/entry/shallotspindle_entry/stored_form_test.py
@@ -23,7 +23,7 @@
         state = LedgerSnapshot(1.5, (claim,))
         encoded = claims.encode_snapshot(state)
         assert json.loads(encoded) == [1.5, [CLAIM]]
-        assert claims.decode_snapshot(encoded) == state
+        assert claims.decode_snapshot(encoded).ok == state
 
     def test_keys_of_the_store(self):
         name = ownership_records.build_session_key(Incarnation("inc"))
--- a/libraries/entry/shallotspindle_entry/table_sharing.py
+++ b/libraries/entry/shallotspindle_entry/table_sharing.py
@@ -34,13 +34,12 @@
 
     def store_peer_table(self, response: TableResponse) -> OwnershipTable | None:
         """Decode and store a peer's table; None if it is damaged."""
-        try:
-            table = records.decode_table(response.data, response.revision)
-        except records.DECODE_ERRORS as error:
-            logging.error("a peer's ownership table is damaged: %r", error)
+        table = records.decode_table(response.data, response.revision)
+        if table.is_error():
+            logging.error("a peer's ownership table is damaged: %s", table.error)
             return None
         self.peer_table = response
-        return table
+        return table.ok
 
     async def _handle_table_request(
         self, sender: Instance, message: TableRequest
--- a/libraries/entry/shallotspindle_entry/tasks.py
+++ b/libraries/entry/shallotspindle_entry/tasks.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from absl import logging
 from aiomisc import Service
 
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
+
 
 @dataclass(slots=True)
 class Envelope:
@@ -25,11 +26,15 @@
 
 
 class InboxTask(Service):
-    """Service with a message inbox; subclasses implement ``handle``."""
+    """Service with a message inbox; subclasses implement ``handle``.
+
+    ``errors`` counts unexpected errors; each ends only the message that caused it.
+    """
 
     def __init__(self, **kwargs: Any) -> None:
         super().__init__(**kwargs)
         self._inbox: asyncio.Queue[Envelope] = asyncio.Queue()
+        self.errors = UnexpectedErrors()
 
     async def handle(self, message: Any) -> Any:
         """Handle one message and return the reply."""
@@ -59,7 +64,8 @@
         try:
             result = await self.handle(envelope.message)
         except Exception as error:
-            logging.exception("%s failed to handle a message", type(self).__name__)
+            # The sender gets the error; the next message is handled as usual.
+            self.errors.record(type(envelope.message).__name__)
             if envelope.reply is not None and not envelope.reply.done():
                 envelope.reply.set_exception(error)
             return
--- a/libraries/environment/shallotspindle_environment/etcd.py
+++ b/libraries/environment/shallotspindle_environment/etcd.py
@@ -5,12 +5,13 @@
 """
 
 import base64
-import json
 from collections.abc import AsyncIterator, Callable
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import aiohttp
+from absl import logging
 from expression import Error, Ok, Result
+from pydantic import BaseModel, Field, TypeAdapter
 
 from shallotspindle_environment.interface import (
     MAX_VALUE_BYTES,
@@ -20,6 +21,9 @@
     StoredValue,
     StoreFailure,
 )
+from shallotspindle_validation import documents
+from shallotspindle_validation.documents import MalformedDocument
+from shallotspindle_validation.fields import Revision
 
 REQUEST_TIMEOUT_SECONDS = 2.0
 # A watch ends after this time without a change, and its caller opens a new one. This
@@ -30,6 +34,7 @@
 STATUS_TOO_MANY_REQUESTS = 429
 MIN_SERVER_ERROR_STATUS = 500
 Value = TypeVar("Value")
+Model = TypeVar("Model")
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
@@ -38,15 +43,103 @@
     return base64.b64encode(data).decode()
 
 
-def decode_value(item: dict[str, Any]) -> StoredValue:
-    """Convert a key-value object of the etcd gateway."""
+class WireValue(BaseModel):
+    """A key-value object of the etcd gateway; numbers are text.
+
+    :param key: base64 text.
+    :param value: base64 text; absent for an empty value.
+    """
+
+    key: str
+    value: str = ""
+    mod_revision: Revision = 0
+
+
+class WireRange(BaseModel):
+    """Response to a read; ``kvs`` is absent if there are no values."""
+
+    kvs: list[WireValue] = Field(default_factory=list)
+
+
+class WireHeader(BaseModel):
+    """Header of each response, with the revision of the store."""
+
+    revision: Revision
+
+
+class WireWritten(BaseModel):
+    """Response to a transaction; ``succeeded`` is absent if a condition failed."""
+
+    succeeded: bool = False
+    header: WireHeader
+
+
+class WireLease(BaseModel):
+    """Response to the creation of a lease."""
+
+    lease_id: Annotated[Revision, Field(alias="ID")]
+
+
+class WireRenewal(BaseModel):
+    """The part of the response to a renewal that matters; 0 for an ended lease."""
+
+    ttl_seconds: Annotated[Revision, Field(alias="TTL")] = 0
+
+
+class WireRenewed(BaseModel):
+    """Response to a renewal."""
+
+    result: WireRenewal
+
+
+class WireEvent(BaseModel):
+    """A change of a key."""
+
+    kv: WireValue
+
+
+class WireChanges(BaseModel):
+    """The part of a line of a watch that matters."""
+
+    events: list[WireEvent] = Field(default_factory=list)
+    canceled: bool = False
+
+
+class WireWatchLine(BaseModel):
+    """A line of the response to a watch."""
+
+    result: WireChanges = Field(default_factory=WireChanges)
+
+
+RANGE_ADAPTER = TypeAdapter(WireRange)
+WRITTEN_ADAPTER = TypeAdapter(WireWritten)
+LEASE_ADAPTER = TypeAdapter(WireLease)
+RENEWED_ADAPTER = TypeAdapter(WireRenewed)
+
+
+def decode_value(item: WireValue) -> StoredValue:
+    """Decode the base64 texts of a key-value object.
+
+    :raises ValueError: if one of them is no base64, or the key is no UTF-8.
+    """
     return StoredValue(
-        key=base64.b64decode(item["key"]).decode(),
-        data=base64.b64decode(item.get("value", "")),
-        revision=int(item.get("mod_revision", 0)),
+        key=base64.b64decode(item.key).decode(),
+        data=base64.b64decode(item.value),
+        revision=item.mod_revision,
     )
 
 
+def decode_values(items: list[WireValue]) -> tuple[StoredValue, ...]:
+    """Decode objects, without those whose key is no UTF-8: none of ours is."""
+    values = []
+    for item in items:
+        try:
+            values.append(decode_value(item))
+        except ValueError as error:
+            logging.warning("ignored the value of an unreadable key: %s", error)
+    return tuple(values)
+
+
 def compute_range_end(prefix: str) -> bytes:
     """Return the end of the key range of a prefix: the first key after it."""
     data = prefix.encode()
@@ -76,18 +169,24 @@
     return failure
 
 
+def build_malformed(source: str, failure: MalformedDocument) -> OutcomeUnknown:
+    """Return the failure for a response that cannot be read."""
+    return OutcomeUnknown(source, "the response is malformed", str(failure))
+
+
 def convert_response(
     source: str,
-    response: Result[dict[str, Any], StoreFailure],
-    convert: Callable[[dict[str, Any]], Value],
+    response: Result[bytes, StoreFailure],
+    adapter: TypeAdapter[Model],
+    convert: Callable[[Model], Value],
 ) -> Result[Value, StoreFailure]:
-    """Convert a response; one with missing or wrong fields is a failure."""
+    """Check and convert a response; one with missing or wrong fields is a failure."""
     if response.is_error():
         return Error(response.error)
-    try:
-        return Ok(convert(response.ok))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return Error(OutcomeUnknown(source, "the response is malformed", repr(error)))
+    checked = documents.decode_lax(adapter, source, response.ok)
+    if checked.is_error():
+        return Error(build_malformed(source, checked.error))
+    return Ok(convert(checked.ok))
 
 
 async def read_lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
@@ -118,7 +217,7 @@
 
     async def _post(
         self, path: str, body: dict[str, Any]
-    ) -> Result[dict[str, Any], StoreFailure]:
+    ) -> Result[bytes, StoreFailure]:
         source = f"store {path}"
         try:
             async with self._session.post(
@@ -126,10 +225,10 @@
             ) as response:
                 if response.status != STATUS_OK:
                     return Error(build_status_failure(source, response.status))
-                return Ok(await response.json(content_type=None))
+                return Ok(await response.read())
         except CONNECT_ERRORS as error:
             return Error(StoreFailure(source, "no connection", str(error)))
-        except (TimeoutError, aiohttp.ClientError, json.JSONDecodeError) as error:
+        except (TimeoutError, aiohttp.ClientError) as error:
             error_name = type(error).__name__
             return Error(OutcomeUnknown(source, "the response was lost", error_name))
 
@@ -137,14 +236,17 @@
         response = await self._post(
             "/v3/kv/range", {"key": encode_base64(key.encode())}
         )
-        return convert_response(
-            f"store {key}", response, lambda decoded: self._decode_first(key, decoded)
+        values = convert_response(
+            f"store {key}", response, RANGE_ADAPTER, lambda page: page.kvs
         ).map_error(convert_to_read_failure)
-
-    @staticmethod
-    def _decode_first(key: str, decoded: dict[str, Any]) -> StoredValue:
-        items = decoded.get("kvs", [])
-        return decode_value(items[0]) if items else StoredValue(key, b"", 0)
+        if values.is_error():
+            return Error(values.error)
+        if not values.ok:
+            return Ok(StoredValue(key, b"", 0))
+        decoded = decode_values(values.ok[:1])
+        if not decoded:
+            return Error(StoreFailure(f"store {key}", "the value is unreadable"))
+        return Ok(decoded[0])
 
     async def list(self, prefix: str) -> Result[tuple[StoredValue, ...], StoreFailure]:
         body = {
@@ -155,7 +257,8 @@
         return convert_response(
             f"store {prefix}",
             response,
-            lambda decoded: tuple(map(decode_value, decoded.get("kvs", []))),
+            RANGE_ADAPTER,
+            lambda page: decode_values(page.kvs),
         ).map_error(convert_to_read_failure)
 
     async def replace(
@@ -187,22 +290,19 @@
         written = convert_response(
             f"store {key}",
             response,
-            lambda decoded: (
-                bool(decoded.get("succeeded")),
-                int(decoded["header"]["revision"]),
-            ),
+            WRITTEN_ADAPTER,
+            lambda body: body,
         )
         if written.is_error():
             return Error(written.error)
-        succeeded, new_revision = written.ok
-        if not succeeded:
+        if not written.ok.succeeded:
             return Error(Conflict(f"store {key}", "the value was changed"))
-        return Ok(new_revision)
+        return Ok(written.ok.header.revision)
 
     async def grant_lease(self, ttl_seconds: int) -> Result[int, StoreFailure]:
         response = await self._post("/v3/lease/grant", {"TTL": str(ttl_seconds)})
         return convert_response(
-            "store lease", response, lambda decoded: int(decoded["ID"])
+            "store lease", response, LEASE_ADAPTER, lambda body: body.lease_id
         )
 
     async def renew_lease(self, lease_id: int) -> Result[int, StoreFailure]:
@@ -210,7 +310,8 @@
         return convert_response(
             "store lease",
             response,
-            lambda decoded: int(decoded["result"].get("TTL", 0)),
+            RENEWED_ADAPTER,
+            lambda body: body.result.ttl_seconds,
         )
 
     async def watch(self, key: str, revision: int) -> AsyncIterator[StoredValue]:
@@ -232,10 +333,14 @@
                 if response.status != STATUS_OK:
                     return
                 async for line in read_lines(response.content):
-                    result = json.loads(line).get("result", {})
-                    for event in result.get("events", []):
-                        yield decode_value(event["kv"])
-                    if result.get("canceled"):
+                    decoded = documents.decode_model(WireWatchLine, "watch", line)
+                    if decoded.is_error():
+                        logging.warning("the watch ended: %s", decoded.error[0])
+                        return
+                    result = decoded.ok.result
+                    for value in decode_values([event.kv for event in result.events]):
+                        yield value
+                    if result.canceled:
                         return
-        except (TimeoutError, aiohttp.ClientError, ValueError, KeyError):
+        except (TimeoutError, aiohttp.ClientError):
             return
--- a/libraries/environment/shallotspindle_environment/etcd_test.py
+++ b/libraries/environment/shallotspindle_environment/etcd_test.py
@@ -1,3 +1,6 @@
+import base64
+import json
+
 import aiohttp
 import pytest
 from aiohttp import web
@@ -6,6 +9,12 @@
 from shallotspindle_environment.interface import OutcomeUnknown, StoreBusy, StoreFailure
 from shallotspindle_environment.listing import HttpInstanceList
 
+LABELS = {"incarnation": "b", "failure_domain": "d"}
+
+
+def build_group(incarnation, address):
+    return {"targets": [address], "labels": {**LABELS, "incarnation": incarnation}}
+
 
 @pytest.fixture
 async def start_server():
@@ -57,7 +66,28 @@
         store = EtcdStore(*await start_server(status, text))
         assert type((await store.replace("k", b"x", 0)).error) is failure
 
-    @pytest.mark.parametrize("text", ["no JSON", "[]", '{"kvs": [{}]}', '{"kvs": 1}'])
+    async def test_a_key_that_is_no_text_hides_no_other(self, start_server):
+        # Guards against one key of another writer that hides all others.
+        values = [
+            {"key": base64.b64encode(key).decode(), "mod_revision": "3"}
+            for key in (b"\xff\xfe", b"sound")
+        ]
+        store = EtcdStore(*await start_server(200, json.dumps({"kvs": values})))
+        assert [item.key for item in (await store.list("s")).ok] == ["sound"]
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "no JSON",
+            "[]",
+            '{"kvs": [{}]}',
+            '{"kvs": 1}',
+            "[" * 100_000,
+            '{"kvs": [{"key": "aw==", "mod_revision": 1e999}]}',
+            '{"kvs": [{"key": "aw==", "mod_revision": "' + "1" * 5000 + '"}]}',
+        ],
+        ids=["text", "list", "no-key", "number", "nested", "infinite", "huge"],
+    )
     async def test_malformed_response_to_a_read_is_a_failure(self, start_server, text):
         # Guards against a malformed response that raises an exception in the caller.
         store = EtcdStore(*await start_server(200, text))
@@ -74,3 +104,28 @@
         # instances count as ended.
         session, url = await start_server(200, text)
         assert (await HttpInstanceList(session, url).list()).is_error()
+
+    @pytest.mark.parametrize(
+        "odd_group",
+        [
+            5,
+            {"targets": ["10.0.0.2:99999"], "labels": LABELS},
+            {"targets": ["10.0.0.2:1"], "labels": {"incarnation": 5}},
+            {"targets": "10.0.0.2:1", "labels": LABELS},
+        ],
+    )
+    async def test_an_odd_group_hides_no_instance(self, start_server, odd_group):
+        # Guards against one odd group that stops the reading of the list, and against
+        # an instance that counts as ended because its group turned odd: another one
+        # would take over what it still holds.
+        sound_groups = [build_group("a", "10.0.0.1:1"), build_group("b", "10.0.0.2:1")]
+        session, url = await start_server(200, json.dumps(sound_groups))
+        instances = HttpInstanceList(session, url)
+        assert len((await instances.list()).ok) == 2
+        odd_list = [build_group("a", "10.0.0.1:1"), odd_group]
+        _, instances._url = await start_server(200, json.dumps(odd_list))
+        listed = {item.instance.incarnation for item in (await instances.list()).ok}
+        assert listed == {"a", "b"}
+        _, instances._url = await start_server(200, json.dumps(sound_groups[:1]))
+        listed = {item.instance.incarnation for item in (await instances.list()).ok}
+        assert listed == {"a"}
--- a/libraries/settings/shallotspindle_settings/audit.py
+++ b/libraries/settings/shallotspindle_settings/audit.py
@@ -1,11 +1,14 @@
 """Stored form of audit records."""
 
+from typing import Annotated
+
 from expression import Error, Ok, Result
 from pydantic import Field, ValidationError
 
 from shallotspindle_audit.records import Change, Record
 from shallotspindle_settings import failures
 from shallotspindle_settings.daemon import StrictModel
+from shallotspindle_validation.fields import Counter
 
 AUDIT_PREFIX = "/shallotspindle/audit/records/"
 # The value is a sequence number near the end of the trail. It only saves reads and may
@@ -19,13 +22,13 @@
 class RecordModel(StrictModel):
     """A record of the audit trail."""
 
-    sequence: int = Field(ge=1)
+    sequence: Annotated[Counter, Field(ge=1)]
     previous: str = Field(pattern=r"^[0-9a-f]{64}$")
     attempt: str
     time: str
     person: str
     action: str
-    version: int
+    version: Counter
     details: tuple[str, ...] = ()
 
 
--- /dev/null
+++ b/libraries/settings/shallotspindle_settings/borders_test.py
@@ -0,0 +1,114 @@
+"""Property tests of stored forms and files: any bytes give records or failures."""
+
+import json
+from pathlib import Path
+
+from hypothesis import given
+
+from shallotspindle_bundles.buckets import Section
+from shallotspindle_core import bounds
+from shallotspindle_settings import (
+    audit,
+    bundle,
+    chunks,
+    daemon,
+    deltas,
+    manifest,
+    withdrawal,
+)
+from shallotspindle_validation.documents_test import draw_odd_bytes
+
+ROOT = Path(__file__).parents[3]
+EXAMPLE = ROOT / "examples" / "gyngehest"
+ENTRY_SETTINGS = json.loads((EXAMPLE / "entry.json").read_text())
+BUNDLE = json.loads((EXAMPLE / "bundle.json").read_text())
+MANIFEST = {
+    "version": 3,
+    "parent": 2,
+    "signer": "kari",
+    "attempt": "a1",
+    "chunks": ["ab"],
+    "signature": "ab" * 64,
+}
+DELTA = {
+    "version": 3,
+    "parent": 2,
+    "salt": "ab" * 16,
+    "services": [{"name": "catalogue", "floor": 1}],
+    "teams": [{"name": "museum", "after": BUNDLE["teams"][0]}],
+    "withdrawn": {"added": ["ab" * 32], "removed": []},
+}
+RECORD = {
+    "sequence": 1,
+    "previous": "ab" * 32,
+    "attempt": "a1",
+    "time": "t",
+    "person": "kari",
+    "action": "publish",
+    "version": 3,
+    "details": [],
+}
+WITHDRAWAL = {
+    "digest": "ab" * 32,
+    "person": "kari",
+    "reason": "lost",
+    "time": "t",
+    "signature": "ab" * 64,
+}
+
+
+class TestFiles:
+    @given(draw_odd_bytes(ENTRY_SETTINGS))
+    def test_settings_of_an_instance(self, tmp_path_factory, data):
+        # Guards against an odd settings file that raises in place of a message.
+        path = tmp_path_factory.getbasetemp() / "entry.json"
+        path.write_bytes(data)
+        loaded = daemon.load_settings(path)
+        assert loaded.is_ok() or loaded.error
+
+    @given(draw_odd_bytes(BUNDLE))
+    def test_bundle(self, tmp_path_factory, data):
+        # Guards against an odd bundle file that raises in place of a message.
+        path = tmp_path_factory.getbasetemp() / "bundle.json"
+        path.write_bytes(data)
+        loaded = bundle.load_bundle(path)
+        assert loaded.is_ok() or loaded.error
+
+
+class TestStoredForms:
+    @given(draw_odd_bytes(MANIFEST))
+    def test_manifest(self, data):
+        # Guards against an odd value that ends the following of the bundle.
+        parsed = manifest.parse_manifest(data)
+        if parsed.is_ok():
+            assert 0 <= parsed.ok.version <= bounds.MAX_COUNTER
+
+    @given(draw_odd_bytes(DELTA))
+    def test_delta(self, data):
+        # Guards against an odd value that ends the following of the bundle.
+        decoded = deltas.decode_delta(data)
+        assert decoded.is_ok() or decoded.error
+
+    @given(draw_odd_bytes(BUNDLE["teams"]))
+    def test_chunk_of_teams(self, data):
+        # Guards against an odd value that ends the following of the bundle.
+        decoded = chunks.decode_bucket(Section.TEAMS, data)
+        assert decoded.is_ok() or decoded.error
+
+    @given(draw_odd_bytes(BUNDLE["services"]))
+    def test_chunk_of_services(self, data):
+        # Guards against an odd value that ends the following of the bundle.
+        decoded = chunks.decode_bucket(Section.SERVICES, data)
+        assert decoded.is_ok() or decoded.error
+
+    @given(draw_odd_bytes(WITHDRAWAL))
+    def test_withdrawal(self, data):
+        # Guards against an odd value that ends the following of withdrawals.
+        parsed = withdrawal.parse_withdrawal("withdrawal", data)
+        assert parsed.is_ok() or parsed.error
+
+    @given(draw_odd_bytes(RECORD))
+    def test_audit_record(self, data):
+        # Guards against an odd record that hides the audit trail.
+        parsed = audit.parse_record("record", data)
+        assert parsed.is_ok() or parsed.error
--- a/libraries/settings/shallotspindle_settings/bundle.py
+++ b/libraries/settings/shallotspindle_settings/bundle.py
@@ -11,6 +11,13 @@
 from shallotspindle_bundles import checks, records, teams
 from shallotspindle_settings import failures
 from shallotspindle_settings.daemon import StrictModel
+from shallotspindle_validation.fields import (
+    Connections,
+    Counter,
+    Rate,
+    Seconds,
+    Slots,
+)
 
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
@@ -24,8 +31,8 @@
     """
 
     name: str
-    rate: float = Field(gt=0)
-    burst: float = Field(ge=1)
+    rate: Annotated[Rate, Field(gt=0)]
+    burst: Annotated[Rate, Field(ge=1)]
     key_digests: tuple[Digest, ...] = ()
 
 
@@ -35,8 +42,8 @@
     name: str
     address: str
     failure_domain: str
-    slots: int = Field(default=2, ge=1)
-    connections: int = Field(default=300, ge=1)
+    slots: Slots = 2
+    connections: Connections = 300
     draining: bool = False
 
 
@@ -45,7 +52,7 @@
 
     name: str
     upstreams: tuple[UpstreamModel, ...]
-    floor: int = Field(default=1, ge=0)
+    floor: Counter = 1
 
 
 class RouteModel(StrictModel):
@@ -58,7 +65,7 @@
     methods: tuple[str, ...] = ()
     open: bool = False
     idempotent_methods: tuple[str, ...] | None = None
-    timeout: float = Field(default=30.0, gt=0)
+    timeout: Annotated[Seconds, Field(gt=0)] = 30.0
     idempotency_key: records.KeyRule = records.KeyRule.OPTIONAL
     team: str | None = None
 
@@ -70,7 +77,7 @@
     :param withdrawn: digests of keys that must not be accepted, in hex.
     """
 
-    version: int = Field(ge=1)
+    version: Annotated[Counter, Field(ge=1)]
     salt: str = Field(pattern=r"^([0-9a-f]{2}){16,}$")
     teams: tuple[TeamModel, ...] = ()
     services: tuple[ServiceModel, ...] = ()
--- a/libraries/settings/shallotspindle_settings/daemon.py
+++ b/libraries/settings/shallotspindle_settings/daemon.py
@@ -14,6 +14,7 @@
 )
 
 from shallotspindle_settings import failures
+from shallotspindle_validation.fields import Seconds
 
 
 class StrictModel(BaseModel):
@@ -45,7 +46,7 @@
 
     certificate: str = Field(min_length=1)
     private_key: str = Field(min_length=1)
-    reload_seconds: float = Field(default=60.0, gt=0)
+    reload_seconds: Annotated[Seconds, Field(gt=0)] = 60.0
 
 
 class EntrySettings(StrictModel):
@@ -72,8 +73,8 @@
     instance_list_url: Url
     signers: dict[str, PublicKey]
     fleet_secret: str = Field(pattern=r"^[0-9a-f]{64}$")
-    stop_wait_seconds: float = Field(default=5.0, ge=0)
-    stop_limit_seconds: float = Field(default=60.0, ge=0)
+    stop_wait_seconds: Seconds = 5.0
+    stop_limit_seconds: Seconds = 60.0
 
     @field_validator("failure_domains")
     @classmethod
--- a/libraries/settings/shallotspindle_settings/deltas.py
+++ b/libraries/settings/shallotspindle_settings/deltas.py
@@ -16,13 +16,14 @@
 from shallotspindle_settings import bundle
 from shallotspindle_settings.chunks import ChunkFailure, encode_canonical_json
 from shallotspindle_settings.daemon import StrictModel
+from shallotspindle_validation.fields import Counter
 
 DELTA_PREFIX = "/shallotspindle/deltas/"
 
 
 class ServiceChangeModel(StrictModel):
     name: str
-    floor: int | None = None
+    floor: Counter | None = None
 
 
 class UpstreamChangeModel(StrictModel):
@@ -47,8 +48,8 @@
 
 
 class DeltaModel(StrictModel):
-    version: int
-    parent: int
+    version: Counter
+    parent: Counter
     salt: str | None = None
     services: tuple[ServiceChangeModel, ...] = ()
     upstreams: tuple[UpstreamChangeModel, ...] = ()
--- a/libraries/settings/shallotspindle_settings/failures.py
+++ b/libraries/settings/shallotspindle_settings/failures.py
@@ -71,7 +71,7 @@
         try:
             json.loads(text)
             self._offsets = index_value_offsets(text)
-        except ValueError:
+        except (ValueError, RecursionError):
             self._offsets = {}
 
     def find_line(self, location: Location) -> int:
@@ -89,7 +89,7 @@
         json.loads(text)
     except json.JSONDecodeError as error:
         return error.lineno
-    except ValueError:
+    except (ValueError, RecursionError):
         return 1
     return 1
 
--- a/libraries/settings/shallotspindle_settings/manifest.py
+++ b/libraries/settings/shallotspindle_settings/manifest.py
@@ -8,14 +8,15 @@
 from shallotspindle_bundles.manifests import Manifest
 from shallotspindle_settings import failures
 from shallotspindle_settings.daemon import StrictModel
+from shallotspindle_validation.fields import Counter
 
 MANIFEST_KEY = "/shallotspindle/manifest"
 CHUNK_PREFIX = "/shallotspindle/chunks/"
 
 
 class ManifestModel(StrictModel):
-    version: int
-    parent: int
+    version: Counter
+    parent: Counter
     signer: str
     attempt: str
     chunks: tuple[str, ...]
--- a/libraries/telemetry/shallotspindle_telemetry/metrics.py
+++ b/libraries/telemetry/shallotspindle_telemetry/metrics.py
@@ -4,6 +4,8 @@
 the bundle and the code, never from callers.
 """
 
+from collections.abc import Mapping
+
 from aioprometheus import Counter, Gauge, Registry, render
 
 
@@ -27,6 +29,11 @@
             "Requests in work.",
             registry=self._registry,
         )
+        self._unexpected_errors = Counter(
+            "shallotspindle_unexpected_errors_total",
+            "Unexpected errors by what was being handled; each is a fault to report.",
+            registry=self._registry,
+        )
         self._peer_bytes = Gauge(
             "shallotspindle_peer_bytes",
             "Bytes exchanged with other instances by direction.",
@@ -51,6 +58,11 @@
         self._peer_bytes.set({"direction": "sent"}, sent_bytes)
         self._peer_bytes.set({"direction": "received"}, received_bytes)
 
+    def set_unexpected_errors(self, counts: Mapping[str, int]) -> None:
+        """Set the numbers of unexpected errors since the start, by kind."""
+        for kind, count in counts.items():
+            self._unexpected_errors.set({"kind": kind}, count)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics as text, and the headers of the HTTP response."""
         return render(self._registry, ["text/plain"])
--- a/libraries/validation/shallotspindle_validation/documents.py
+++ b/libraries/validation/shallotspindle_validation/documents.py
@@ -53,6 +53,16 @@
         return Error(convert_errors(source, error)[0])
 
 
+def decode_lax(
+    adapter: TypeAdapter[Value], source: str, data: bytes
+) -> Result[Value, MalformedDocument]:
+    """Like ``decode_with``, but numbers may be written as text."""
+    try:
+        return Ok(adapter.validate_json(data))
+    except ValidationError as error:
+        return Error(convert_errors(source, error)[0])
+
+
 def check_with(
     adapter: TypeAdapter[Value], source: str, value: Any
 ) -> Result[Value, MalformedDocument]:
--- a/libraries/validation/shallotspindle_validation/fields.py
+++ b/libraries/validation/shallotspindle_validation/fields.py
@@ -7,6 +7,16 @@
 from shallotspindle_core import addresses, bounds
 
 
+def check_address(text: str) -> str:
+    """Return ``ip:port`` unchanged.
+
+    :raises ValueError: if the text is not an IP address and a port.
+    """
+    if not addresses.is_address(text):
+        raise ValueError("not an IP address with a port from 1 to 65535")
+    return text
+
+
 def check_ipv4_address(text: str) -> str:
     """Return ``ip:port`` unchanged.
 
@@ -17,6 +27,7 @@
     return text
 
 
+Address = Annotated[str, AfterValidator(check_address)]
 Ipv4Address = Annotated[str, AfterValidator(check_ipv4_address)]
 # Names of services, upstreams and teams become values of HTTP headers.
 Name = Annotated[
--- a/libraries/wire/shallotspindle_wire/streams.py
+++ b/libraries/wire/shallotspindle_wire/streams.py
@@ -9,6 +9,8 @@
 
 from expression import Error, Ok, Result
 
+from shallotspindle_core import addresses
+from shallotspindle_core.addresses import InvalidAddress
 from shallotspindle_core.failures import Failure
 from shallotspindle_core.identifiers import Incarnation, Instance
 from shallotspindle_wire import frames
@@ -194,11 +196,13 @@
     peer: Instance, parameters: HandshakeParameters, traffic: TrafficCounter
 ) -> Result[tuple[Stream, tuple[bytes, ...]], Failure]:
     """Connect to a peer and perform the handshake."""
-    host, _, port = peer.address.rpartition(":")
+    address = addresses.parse_address(peer.address)
+    if isinstance(address, InvalidAddress):
+        return Error(StreamFailure("peer stream", "no connection", str(address)))
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
-    except (TimeoutError, OSError, ValueError) as error:
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+    except (TimeoutError, OSError) as error:
         return Error(StreamFailure("peer stream", "no connection", repr(error)))
     handshake = await perform_handshake(reader, writer, parameters, peer, traffic)
     if handshake.is_error():
