Reuse a connection only while its responses name their requests

Cause: an operator's report: a second copy of a response arrived late, on a connection that was in use again, and the next caller got it. The entry daemon dropped connections on which something arrived before the next request, but a copy that arrives after that request and names none was passed on.

Change: a connection to an upstream is kept only after a response with the request id, and a response without one on a kept connection is dropped as one of another request. Upstreams that name no requests get a connection for each. Scripted upstreams of the tests and the stand-in name their requests.

Result: two new tests fail without the change in upstream_connections and pass with it; a third shows that a refusal of another request proves nothing (it passed before). 77 tests of frontend, forwarding and stopping pass.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -73,15 +74,27 @@
         self.received.append(head)
         return head
 
+    @staticmethod
+    def name_request(head: bytes, response: bytes) -> bytes:
+        """Return a response that names its request, as most upstreams do."""
+        request_id = re.search(rb"(?i)^x-request-id: .*\r\n", head, re.MULTILINE)
+        status_line, separator, rest = response.partition(b"\r\n")
+        if request_id is None or b"x-request-id" in rest.lower() or not separator:
+            return response
+        return status_line + separator + request_id.group() + rest
+
     def respond(self, *responses: bytes) -> Script:
-        """Return a script that sends one response to each request in turn."""
+        """Return a script that sends one response to each request in turn.
+
+        A response that names no request gets the id of its own one.
+        """
 
         async def run(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             for response in responses:
-                await self.read_head(reader)
-                writer.write(response)
+                head = await self.read_head(reader)
+                writer.write(self.name_request(head, response))
                 await writer.drain()
 
         return run
--- a/libraries/entry/shallotspindle_entry/forwarding.py
+++ b/libraries/entry/shallotspindle_entry/forwarding.py
@@ -1,9 +1,10 @@
 """Connections to upstreams.
 
-A connection is reused only after a complete response, and only if nothing arrived on it
-since: a late response would go to the next caller. Each non-idempotent request gets a
-new connection, because an upstream may close an idle connection just as a request is
-sent on it, which would leave the outcome of the request unknown.
+A connection is reused only after a complete response that named its request, and only
+if nothing arrived on it since: a late response would go to the next caller. Each
+non-idempotent request gets a new connection, because an upstream may close an idle
+connection just as a request is sent on it, which would leave the outcome of the request
+unknown.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from aiomisc import Service
 
 from shallotspindle_bundles.records import Upstream
+from shallotspindle_entry import headers
 from shallotspindle_entry.response_limits import ResponseLimits
 from shallotspindle_entry.upstream_connections import BoundedResponseHandler
 
@@ -42,7 +44,11 @@
         """Return the protocol of a new connection."""
         loop = asyncio.get_running_loop()
         return BoundedResponseHandler(
-            loop, RESPONSE_LIMITS, next(self._connection_ids), self._ignore_size_change
+            loop,
+            RESPONSE_LIMITS,
+            next(self._connection_ids),
+            self._ignore_size_change,
+            headers.REQUEST_ID,
         )
 
     @staticmethod
--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -116,8 +116,8 @@
         late = asyncio.Event()
 
         async def respond_twice(reader, writer):
-            await proxy.upstream.read_head(reader)
-            writer.write(OK_RESPONSE)
+            head = await proxy.upstream.read_head(reader)
+            writer.write(proxy.upstream.name_request(head, OK_RESPONSE))
             await writer.drain()
             await late.wait()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
@@ -132,6 +132,63 @@
         for _ in range(20):
             assert b"wrong" not in await proxy.get()
 
+    async def test_late_copy_after_the_next_request_is_dropped(self, proxy):
+        # Guards against a second copy of a response that arrives when the connection is
+        # in use again: the next caller would get a response that is not its own.
+        async def respond_with_a_copy(reader, writer):
+            head = await proxy.upstream.read_head(reader)
+            writer.write(proxy.upstream.name_request(head, OK_RESPONSE))
+            await writer.drain()
+            await proxy.upstream.read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+            await writer.drain()
+
+        proxy.upstream.scripts = [
+            respond_with_a_copy,
+            proxy.upstream.respond(OK_RESPONSE),
+        ]
+        assert b"whole" in await proxy.get()
+        assert b"whole" in await proxy.get()
+
+    async def test_connection_without_request_ids_is_not_reused(self, proxy):
+        # Guards against a late copy that nothing distinguishes from the response to
+        # the next request.
+        async def respond_with_a_copy(reader, writer):
+            await proxy.upstream.read_head(reader)
+            writer.write(OK_RESPONSE)
+            await writer.drain()
+            await proxy.upstream.read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+            await writer.drain()
+
+        proxy.upstream.scripts = [
+            respond_with_a_copy,
+            proxy.upstream.respond(OK_RESPONSE),
+        ]
+        assert b"whole" in await proxy.get()
+        assert b"whole" in await proxy.get()
+        assert proxy.upstream.connections == 2
+
+    async def test_refusal_of_another_request_proves_nothing(self, proxy):
+        # Guards against a repeated refusal that makes a deposit run at a second
+        # upstream, or a caller believe that it did not run.
+        crossed = (
+            b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\n"
+            b"X-Request-Id: other\r\nContent-Length: 0\r\n\r\n"
+        )
+        proxy.upstream.scripts = [
+            proxy.upstream.respond(crossed),
+            proxy.upstream.respond(OK_RESPONSE),
+        ]
+        response = await proxy.send(
+            b"POST /deposits HTTP/1.1\r\nHost: shop.test\r\nConnection: close\r\n"
+            b"Authorization: Bearer museum-key\r\nIdempotency-Key: k1\r\n"
+            b"Content-Length: 1\r\n\r\nx"
+        )
+        assert response.startswith(b"HTTP/1.1 502")
+        assert read_problem(response)["outcome"] == "unknown"
+        assert proxy.upstream.connections == 1
+
     async def test_response_that_names_another_request_is_dropped(self, proxy):
         # Guards against sending a caller the response to another caller's request.
         crossed = (
--- a/libraries/entry/shallotspindle_entry/response_limits.py
+++ b/libraries/entry/shallotspindle_entry/response_limits.py
@@ -18,13 +18,17 @@
 
 
 class ResponseFault(StrEnum):
-    """Why a response was not read to its end."""
+    """Why a response was not read to its end.
+
+    ``UNNAMED`` is a response without a request id on a reused connection.
+    """
 
     MALFORMED = "malformed"
     HEAD_TOO_LONG = "head-too-long"
     BODY_TOO_LONG = "body-too-long"
     FRAMING_TOO_LONG = "framing-too-long"
     MEMORY_EXHAUSTED = "no-room"
+    UNNAMED = "unnamed"
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -13,7 +13,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from shallotspindle_entry.response_limits import (
     ResponseFault,
@@ -43,6 +44,9 @@
 
     :param on_size_change: called with the number of bytes of the response that are in
         memory; 0 at its end.
+    :param request_id_header: header in which a response names its request; None if the
+        connection is not reused. It is reused only after a response with the header, so
+        that a late copy of an earlier response is told apart from the next one.
     """
 
     def __init__(
@@ -51,9 +55,13 @@
         limits: ResponseLimits,
         connection_id: int,
         on_size_change: Callable[["BoundedResponseHandler", int], None],
+        request_id_header: str | None = None,
     ) -> None:
         super().__init__(loop)
         self.was_reset = False
+        self._request_id_header = request_id_header
+        self._is_reused = False
+        self._has_served = False
         self.connection_id = connection_id
         self._limits = limits
         self._progress = ResponseProgress(limits)
@@ -62,11 +70,25 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request on the connection."""
+        self._is_reused, self._has_served = self._has_served, True
         self._progress = ResponseProgress(self._limits)
         self._head_tail = b""
         self._payload = None
         super().set_response_params(**params)
 
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Handle a parsed head; one that names no request may be a late copy."""
+        message = data[0]
+        header = self._request_id_header
+        if header is not None and header not in message.headers:
+            if self._is_reused:
+                self.abort_response(ResponseFault.UNNAMED)
+                return
+            self.force_close()
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self.was_reset = exc is not None
         self._on_size_change(self, 0)
--- a/libraries/standins/shallotspindle_standins/upstreams.py
+++ b/libraries/standins/shallotspindle_standins/upstreams.py
@@ -12,6 +12,7 @@
 
 CHUNK_BYTES = 64 * 1024
 MARKER_HEADER = "X-Request-Marker"
+REQUEST_ID_HEADER = "X-Request-Id"
 NOT_RUN_HEADERS = {"Request-Outcome": "not-run"}
 
 
@@ -24,11 +25,13 @@
     """Content of a response.
 
     :param marker: marker of the request that the response belongs to.
+    :param request_id: id of that request; empty if it has none.
     """
 
     status: int
     text: str
     marker: str
+    request_id: str = ""
 
 
 async def read_body(request: web.Request, marker: bytes) -> tuple[int, bool]:
@@ -170,7 +173,8 @@
         )
         status = behaviour.choose_status(active_behaviour, request_index)
         text = f"{self.name} {request.method} {request.path_qs} {length}\n"
-        return self._swap_response(PreparedResponse(status, text, marker))
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        return self._swap_response(PreparedResponse(status, text, marker, request_id))
 
     def _swap_response(self, prepared: PreparedResponse) -> PreparedResponse:
         previous = self._previous_response or prepared
@@ -194,6 +198,8 @@
     ) -> web.StreamResponse:
         body = prepared.text.encode()
         headers = {MARKER_HEADER: prepared.marker, "Content-Length": str(len(body))}
+        if prepared.request_id:
+            headers[REQUEST_ID_HEADER] = prepared.request_id
         if not self.behaviour.truncate:
             return web.Response(status=prepared.status, headers=headers, body=body)
         response = web.StreamResponse(status=prepared.status, headers=headers)
