--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,8 @@
 """Sets the import path of the processes that tests start, and marks known failures.
 
+Property tests draw the same few examples in every run. ``SHALLOTSPINDLE_EXAMPLES`` sets
+another number, which are drawn at random then.
+
 A test whose id is the first field of a line in KNOWN-RED.txt must fail until the line
 is removed. If the id follows the word ``sometimes``, the test may fail or pass. All
 other tests must pass.
@@ -11,8 +14,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import hypothesis
 import pytest
 
+DEFAULT_EXAMPLES = 60
+EXAMPLES_VARIABLE = "SHALLOTSPINDLE_EXAMPLES"
 ROOT = Path(__file__).parent
 LIBRARIES = [ROOT / "platform", *sorted(ROOT.glob("libraries/*"))]
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
@@ -20,6 +26,14 @@
 FLAKY_PREFIX = "sometimes "
 os.environ["PYTHONPATH"] = os.pathsep.join(map(str, LIBRARIES))
 sys.dont_write_bytecode = True
+hypothesis.settings.register_profile(
+    "repeatable",
+    derandomize=EXAMPLES_VARIABLE not in os.environ,
+    max_examples=int(os.environ.get(EXAMPLES_VARIABLE, DEFAULT_EXAMPLES)),
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.load_profile("repeatable")
 
 
 @dataclass(frozen=True)
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -75,18 +75,18 @@
         self._early_reloads = early_reloads or EarlyReloads()
         self._clock = clock
         random_source = random.SystemRandom()
-        errors = UnexpectedErrors()
+        self.errors = UnexpectedErrors()
         self._lifecycle = Lifecycle()
         self._callers = create_listener(settings.callers)
         self._callers_port = self._callers.getsockname()[1]
         readiness = create_listener(settings.readiness)
         metrics = create_listener(settings.metrics)
         self.peers = PeerTransport(
-            create_datagram_socket(settings.peers), messages.MESSAGE_TYPES, errors
+            create_datagram_socket(settings.peers), messages.MESSAGE_TYPES, self.errors
         )
         own_instance = Member(self.peers.address, settings.domain, settings.capacity)
         self.follower = StoreFollower(
-            own_instance, store, decoder, self.peers, clock, errors
+            own_instance, store, decoder, self.peers, clock, self.errors
         )
         renewals = PeerRenewals(store, self.follower, self.peers)
         self.ownership = PartitionOwnership(
@@ -96,7 +96,7 @@
             self.follower,
             renewals,
             clock,
-            errors,
+            self.errors,
         )
         self._lender = SlotLender(
             own_instance,
@@ -105,14 +105,18 @@
             settings.bounds,
             clock,
             random_source,
-            errors,
+            self.errors,
         )
         slot_requester = SlotRequester(
             own_instance, self.follower, self.peers, clock, random_source
         )
         names = settings.headers
         forwarder = Forwarder(
-            names.request_id, names.not_run, clock, settings.response_limits, errors
+            names.request_id,
+            names.not_run,
+            clock,
+            settings.response_limits,
+            self.errors,
         )
         self._admission = Admission(
             self.follower, self.ownership, self.peers, clock, settings.bounds
@@ -125,7 +129,7 @@
             clock,
             random_source,
         )
-        reporter = Reporter(settings.name, self.follower, clock, errors)
+        reporter = Reporter(settings.name, self.follower, clock, self.errors)
         self._frontend = Frontend(
             settings, self._pipeline, self._lifecycle, reporter, clock, self._callers
         )
