Leave odd entries in the store during soak tests

Cause: the soak injected no malformed entries, so a gateway that stops following the store at one passed it.

Change: the fault ODD_ENTRIES writes one of five odd values beside upstreams and gateways, and for odd targets in place of the holder of a partition, while requests flow. The variant trust_entries reads members unchecked and lets errors end their task; a drained upstream then still gets requests. Seeds that failed earlier keep the faults that they drew.

--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -6,21 +6,27 @@
 """
 
 import asyncio
+import json
 import os
 import sys
 from collections.abc import Callable
+from contextlib import contextmanager
 from dataclasses import replace
 
+from expression import Ok
+
 from shallotspindle_adapter import main as adapter
-from shallotspindle_gateway import forwarding, headers, pipeline
+from shallotspindle_gateway import forwarding, headers, pipeline, stored_forms
 from shallotspindle_gateway.admission import Admission
 from shallotspindle_gateway.daemon import Daemon
 from shallotspindle_gateway.messages import TokenGrant
 from shallotspindle_gateway.pipeline import Pipeline
 from shallotspindle_gateway.problems import NO_SLOT
+from shallotspindle_gateway.records import Member
 from shallotspindle_registry.directory import UpstreamDirectory
 from shallotspindle_registry.records import AnnouncedState
 from shallotspindle_retries.budget import RetryBudget
+from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 # Longer than the checks allow between a fully sent request and a closed connection.
 DROP_DELAY_SECONDS = 0.6
@@ -193,6 +199,21 @@
     forwarding.Forwarder._classify_response = classify_or_exit
 
 
+def trust_entries() -> None:
+    """Read members without checks, and let an unexpected error end its task."""
+
+    @contextmanager
+    def pass_errors_on(self, kind):
+        yield
+
+    def decode_unchecked(stored):
+        address, domain, capacity = json.loads(stored.value)
+        return Ok(Member(address, domain, capacity))
+
+    UnexpectedErrors.absorb = pass_errors_on
+    stored_forms.decode_member = decode_unchecked
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     item.__name__: item
     for item in (
@@ -210,6 +231,7 @@
         break_off_work,
         keep_answers,
         end_on_errors,
+        trust_entries,
     )
 }
 
--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -6,6 +6,8 @@
 
 from absl import logging
 
+from shallotspindle_adapter.documents import ANNOUNCEMENT_PREFIX
+from shallotspindle_gateway.stored_forms import MEMBER_PREFIX, PARTITION_KEYS
 from shallotspindle_soak import promises
 from shallotspindle_soak.cutting import RECEIVED, SENT
 from shallotspindle_soak.faults import Fault, FaultEvent
@@ -33,6 +35,14 @@
     Fault.ENDLESS_HEAD: UpstreamMode.ENDLESS_HEAD,
     Fault.ENDLESS_BODY: UpstreamMode.ENDLESS_BODY,
 }
+# What another writer may leave under any key: see also the tests of the borders.
+ODD_VALUES = (
+    b"5",
+    b"[" * 100_000,
+    b"\xff\xfe",
+    b'["10.0.0.9:99999", "a", 1e999]',
+    b'{"address": "10.0.0.9:99999", "info": {"slots": 1' + b"0" * 400 + b"}}",
+)
 FaultHandler = Callable[[FaultEvent], Awaitable[None]]
 
 
@@ -62,6 +72,7 @@
             Fault.CHANGE_CONFIGURATION: self._change_configuration,
             Fault.OVERLOAD: self._overload,
             Fault.STOP_ALL: self._stop_all,
+            Fault.ODD_ENTRIES: self._write_odd_entries,
             **dict.fromkeys(MODES_BY_FAULT, self._degrade_upstream),
         }
 
@@ -254,6 +265,26 @@
         await asyncio.sleep(REMOVAL_DELAY_SECONDS)
         self._fleet.remove_upstream(proxied)
 
+    async def _write_odd_entries(self, event: FaultEvent) -> None:
+        """Write malformed entries beside those of upstreams and gateways.
+
+        For odd targets the holder of a partition is replaced too. That entry stays
+        until a gateway acquires the partition.
+        """
+        value = ODD_VALUES[event.target % len(ODD_VALUES)]
+        store = self._fleet.store
+        added_keys = [
+            f"{prefix}odd-{event.target}"
+            for prefix in (ANNOUNCEMENT_PREFIX, MEMBER_PREFIX)
+        ]
+        for key in added_keys:
+            store.put(key, value)
+        if event.target % 2:
+            store.put(PARTITION_KEYS[event.target % len(PARTITION_KEYS)], value)
+        await asyncio.sleep(event.duration_seconds)
+        for key in added_keys:
+            store.remove(key)
+
     async def _withdraw_key(self, event: FaultEvent) -> None:
         self._fleet.withdraw_key(event.target)
 
--- a/libraries/soak/shallotspindle_soak/regressions.py
+++ b/libraries/soak/shallotspindle_soak/regressions.py
@@ -4,8 +4,10 @@
 
 from shallotspindle_soak.faults import Fault
 
+# Kinds of fault that were added after all of these seeds had failed.
+FAULTS_ADDED_LATER = frozenset({Fault.ODD_ENTRIES})
 # Kinds of fault that were added after seed 109 had failed.
-FAULTS_ADDED_AFTER_109 = frozenset(
+FAULTS_ADDED_AFTER_109 = FAULTS_ADDED_LATER | frozenset(
     {
         Fault.CUT_PEERS,
         Fault.SHED,
@@ -28,7 +30,7 @@
 
     seed: int
     cause: str
-    excluded_faults: frozenset[Fault] = frozenset()
+    excluded_faults: frozenset[Fault] = FAULTS_ADDED_LATER
 
 
 LATE_ATTEMPT = (
