--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,5 +11,6 @@
 fi
 rm -rf target/deps/shallotspindle_*
 cp -r libraries/*/shallotspindle_* platform/shallotspindle_* target/deps/
-find target/deps/shallotspindle_* -name '*_test.py' -delete
+find target/deps/shallotspindle_* \
+    \( -name '*_test.py' -o -name conftest.py -o -name fakes.py \) -delete
 python3 -m compileall -q -j 0 target/deps
--- a/libraries/bundles/shallotspindle_bundles/checks.py
+++ b/libraries/bundles/shallotspindle_bundles/checks.py
@@ -10,8 +10,8 @@
 from shallotspindle_bundles.records import Draft, KeyRule, Route, Upstream
 from shallotspindle_core import addresses
 from shallotspindle_core.failures import Failure
+from shallotspindle_core.identifiers import KEY_DIGEST_BYTES
 
-DIGEST_BYTES = 32
 MIN_SALT_BYTES = 16
 KEY_RULES = frozenset(KeyRule)
 HTTP_METHODS = frozenset(
@@ -121,8 +121,8 @@
     ]
     withdrawn = [(("withdrawn", n), item) for n, item in enumerate(draft.withdrawn)]
     for path, digest in (*key_digests, *withdrawn):
-        if len(digest) != DIGEST_BYTES:
-            message = f"the key digest is not {DIGEST_BYTES} bytes long"
+        if len(digest) != KEY_DIGEST_BYTES:
+            message = f"the key digest is not {KEY_DIGEST_BYTES} bytes long"
             yield build_failure(path, message)
     yield from find_duplicates(
         key_digests, "the key digest is listed twice", is_secret=True
--- a/libraries/bundles/shallotspindle_bundles/teams.py
+++ b/libraries/bundles/shallotspindle_bundles/teams.py
@@ -12,12 +12,11 @@
 
 from shallotspindle_bundles.records import Team
 from shallotspindle_core import hashing
-from shallotspindle_core.identifiers import TeamName
+from shallotspindle_core.identifiers import KEY_DIGEST_BYTES, TeamName
 
 # With 37,000 teams of two keys each, an encoded bucket has about 120 KB, well below the
 # limit of 1 MB for a value in the store, and a new instance reads 64 chunks of teams.
 TEAM_BUCKET_COUNT = 64
-DIGEST_BYTES = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +67,7 @@
     """Build the record of one team from the arrays of its bucket."""
     start = bucket.digest_ends[index - 1] if index else 0
     digests = (
-        bucket.digests[n * DIGEST_BYTES : (n + 1) * DIGEST_BYTES]
+        bucket.digests[n * KEY_DIGEST_BYTES : (n + 1) * KEY_DIGEST_BYTES]
         for n in range(start, bucket.digest_ends[index])
     )
     rate, burst = bucket.rates[index], bucket.bursts[index]
--- a/libraries/bundles/shallotspindle_bundles/withdrawals.py
+++ b/libraries/bundles/shallotspindle_bundles/withdrawals.py
@@ -15,8 +15,8 @@
 )
 
 from shallotspindle_bundles.manifests import SignatureFailure
+from shallotspindle_core.identifiers import KEY_DIGEST_BYTES
 
-DIGEST_BYTES = 32
 # Bounds the memory of withdrawals, since all instances store each one.
 MAX_TEXT_LENGTH = 256
 
@@ -61,7 +61,7 @@
     """
     person = withdrawal.person[:MAX_TEXT_LENGTH]
     texts = (withdrawal.person, withdrawal.reason, withdrawal.time)
-    if len(withdrawal.digest) != DIGEST_BYTES:
+    if len(withdrawal.digest) != KEY_DIGEST_BYTES:
         return SignatureFailure(
             "withdrawal", "the key digest is not 32 bytes long", person
         )
--- a/libraries/core/shallotspindle_core/identifiers.py
+++ b/libraries/core/shallotspindle_core/identifiers.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from typing import NewType
 
+# HMAC-SHA256 of a key, which stands for the key everywhere.
+KEY_DIGEST_BYTES = 32
+
 TeamName = NewType("TeamName", str)
 ServiceName = NewType("ServiceName", str)
 UpstreamName = NewType("UpstreamName", str)
--- a/libraries/entry/shallotspindle_entry/borders_test.py
+++ b/libraries/entry/shallotspindle_entry/borders_test.py
@@ -12,7 +12,7 @@
 from shallotspindle_entry.coordination import MESSAGE_TYPES
 from shallotspindle_entry.stored_form_test import CLAIM
 from shallotspindle_entry.wire_form_test import MESSAGES
-from shallotspindle_validation.documents_test import draw_odd_bytes
+from shallotspindle_validation.documents_test import draw_malformed_bytes
 from shallotspindle_wire import envelopes, frames
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.frames import Direction, FrameDecoder
@@ -23,7 +23,7 @@
 
 
 class TestStoredForms:
-    @given(draw_odd_bytes(COLUMNS))
+    @given(draw_malformed_bytes(COLUMNS))
     def test_ownership_table(self, data):
         # Guards against a damaged table that ends the task that reads it.
         decoded = records.decode_table(zlib.compress(data), 1)
@@ -35,12 +35,12 @@
         # Guards against an error of the decompression.
         assert records.decode_table(data, 1).is_error()
 
-    @given(draw_odd_bytes({"counter": 3, "address": "10.0.0.1:1", "domain": "a"}))
+    @given(draw_malformed_bytes({"counter": 3, "address": "10.0.0.1:1", "domain": "a"}))
     def test_session(self, data):
         # Guards against a damaged record that ends the task that observes sessions.
         assert records.decode_counter(data) >= 0
 
-    @given(draw_odd_bytes([1.5, [CLAIM]]))
+    @given(draw_malformed_bytes([1.5, [CLAIM]]))
     def test_handed_over_claims(self, data):
         # Guards against a handover whose damaged state ends the receiver's task.
         decoded = claims.decode_snapshot(data)
@@ -49,14 +49,14 @@
 
 class TestPeerMessages:
     @given(st.sampled_from(MESSAGES), st.data())
-    def test_a_message_with_odd_fields(self, message, data):
+    def test_a_message_with_malformed_fields(self, message, data):
         # Guards against a message of a peer that raises in the decoder.
         values = msgpack.unpackb(msgpack.packb(message[1]))
         index = data.draw(st.integers(0, len(values) - 1))
-        odd = st.one_of(
+        malformed = st.one_of(
             st.none(), st.integers(-(2**63), 2**64 - 1), st.floats(), st.text()
         )
-        values[index] = data.draw(odd)
+        values[index] = data.draw(malformed)
         for codec in (CODEC, ENVELOPE_CODEC):
             decoded = codec.decode(msgpack.packb(values))
             assert decoded.is_ok() or decoded.error
--- a/libraries/environment/shallotspindle_environment/etcd_test.py
+++ b/libraries/environment/shallotspindle_environment/etcd_test.py
@@ -106,7 +106,7 @@
         assert (await HttpInstanceList(session, url).list()).is_error()
 
     @pytest.mark.parametrize(
-        "odd_group",
+        "malformed_group",
         [
             5,
             {"targets": ["10.0.0.2:99999"], "labels": LABELS},
@@ -114,16 +114,18 @@
             {"targets": "10.0.0.2:1", "labels": LABELS},
         ],
     )
-    async def test_an_odd_group_hides_no_instance(self, start_server, odd_group):
-        # Guards against one odd group that stops the reading of the list, and against
-        # an instance that counts as ended because its group turned odd: another one
-        # would take over what it still holds.
+    async def test_a_malformed_group_hides_no_instance(
+        self, start_server, malformed_group
+    ):
+        # Guards against one malformed group that stops the reading of the list, and
+        # against an instance that counts as ended because its group turned malformed:
+        # another one would take over what it still holds.
         sound_groups = [build_group("a", "10.0.0.1:1"), build_group("b", "10.0.0.2:1")]
         session, url = await start_server(200, json.dumps(sound_groups))
         instances = HttpInstanceList(session, url)
         assert len((await instances.list()).ok) == 2
-        odd_list = [build_group("a", "10.0.0.1:1"), odd_group]
-        _, instances._url = await start_server(200, json.dumps(odd_list))
+        malformed_list = [build_group("a", "10.0.0.1:1"), malformed_group]
+        _, instances._url = await start_server(200, json.dumps(malformed_list))
         listed = {item.instance.incarnation for item in (await instances.list()).ok}
         assert listed == {"a", "b"}
         _, instances._url = await start_server(200, json.dumps(sound_groups[:1]))
--- a/libraries/gateway/shallotspindle_gateway/borders_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borders_test.py
@@ -22,7 +22,7 @@
 from shallotspindle_gateway.records import Endpoint, Settings
 from shallotspindle_gateway.storage import StoredValue
 from shallotspindle_gateway.wire_form_test import MESSAGES
-from shallotspindle_validation.documents_test import draw_odd_bytes, list_paths
+from shallotspindle_validation.documents_test import draw_malformed_bytes, list_paths
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 SETTINGS = Settings("g", FailureDomain("a"), ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT)
@@ -51,7 +51,7 @@
 
 
 @st.composite
-def draw_odd_messages(draw) -> bytes:
+def draw_malformed_messages(draw) -> bytes:
     """Return an envelope with a message of which some values were replaced."""
     _, values = draw(st.sampled_from(MESSAGES))
     changed = msgpack.unpackb(msgpack.packb(values))
@@ -69,19 +69,19 @@
 
 
 @st.composite
-def draw_odd_heads(draw, head: bytes) -> list[bytes]:
+def draw_malformed_heads(draw, head: bytes) -> list[bytes]:
     """Return the parts of a head of which some bytes were replaced."""
     changed = bytearray(head)
     for _ in range(draw(st.integers(0, 4))):
         start = draw(st.integers(0, len(changed)))
         end = start + draw(st.integers(0, 6))
-        odd = st.one_of(
+        malformed = st.one_of(
             st.binary(max_size=6),
             st.sampled_from(
                 [b"\r\n", b"\r\n\r\n", b"9" * 5000, b"Transfer-Encoding: chunked\r\n"]
             ),
         )
-        changed[start:end] = draw(odd)
+        changed[start:end] = draw(malformed)
     cut = draw(st.integers(0, len(changed)))
     return [bytes(changed[:cut]), bytes(changed[cut:])]
 
@@ -117,17 +117,17 @@
 
 
 class TestEntries:
-    @given(draw_odd_bytes(["10.0.0.1:1", "a", 1000.0]))
+    @given(draw_malformed_bytes(["10.0.0.1:1", "a", 1000.0]))
     def test_a_member_is_within_its_bounds(self, data):
-        # Guards against one odd member that stops the following of the store.
+        # Guards against one malformed member that stops the following of the store.
         decoded = stored_forms.decode_member(StoredValue("members/a", data, 1))
         if decoded.is_ok():
             assert addresses.is_ipv4_address(decoded.ok.address)
             assert 0 <= decoded.ok.capacity <= bounds.MAX_MEGABITS_PER_SECOND
 
-    @given(draw_odd_bytes(["10.0.0.1:1", "incarnation"]))
+    @given(draw_malformed_bytes(["10.0.0.1:1", "incarnation"]))
     def test_a_holder_is_within_its_bounds(self, data):
-        # Guards against one odd partition that stops the following of the store.
+        # Guards against one malformed partition that stops the following of the store.
         decoded = stored_forms.decode_holder(StoredValue("limits/1", data, 1))
         if decoded.is_ok():
             assert addresses.is_ipv4_address(decoded.ok.address)
@@ -139,7 +139,7 @@
         with asyncio.Runner() as runner:
             daemon = runner.run(self.create_daemon())
 
-            @given(st.one_of(draw_odd_messages(), st.binary(max_size=100)))
+            @given(st.one_of(draw_malformed_messages(), st.binary(max_size=100)))
             def receive(data):
                 runner.run(self.receive(daemon, data))
 
@@ -160,7 +160,7 @@
         # Guards against an upstream whose bytes end more than their own connection.
         with asyncio.Runner() as runner:
 
-            @given(draw_odd_heads(RESPONSE_HEAD))
+            @given(draw_malformed_heads(RESPONSE_HEAD))
             def receive(parts):
                 runner.run(self.receive_response(parts))
 
@@ -181,7 +181,7 @@
         # Guards against a caller whose bytes end more than their own connection.
         with asyncio.Runner() as runner:
 
-            @given(draw_odd_heads(REQUEST_HEAD))
+            @given(draw_malformed_heads(REQUEST_HEAD))
             def receive(parts):
                 runner.run(self.receive_request(parts))
 
--- a/libraries/gateway/shallotspindle_gateway/odd_entries_test.py
+++ b/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
@@ -19,7 +19,7 @@
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.envelopes import Tell
 
-ODD_VALUES = {
+MALFORMED_VALUES = {
     "number": b"5",
     "null": b"null",
     "nested": b"[" * 100_000,
@@ -38,20 +38,20 @@
     return upstream.name in daemon.follower.upstreams.list_usable(SERVICE)
 
 
-@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
-class TestOddEntries:
-    async def test_the_store_is_followed_past_an_odd_member(self, fleet, value):
+@pytest.mark.parametrize("value", MALFORMED_VALUES.values(), ids=MALFORMED_VALUES)
+class TestMalformedEntries:
+    async def test_the_store_is_followed_past_a_malformed_member(self, fleet, value):
         # Guards against one entry that hides all later changes from every instance.
         daemon = await start_gateway(fleet, "complete")
         watcher_count = len(daemon.follower.rank_watchers())
-        fleet.store.put("members/odd", value)
+        fleet.store.put("members/malformed", value)
         added = await fleet.add_upstream()
         await fleet.await_true(lambda: is_known(daemon, added))
-        assert "members/odd" not in daemon.follower.members
+        assert "members/malformed" not in daemon.follower.members
         assert len(daemon.follower.rank_watchers()) == watcher_count
         assert (await fleet.send(daemon))[0] == 200
 
-    async def test_an_odd_partition_gets_a_holder_again(
+    async def test_a_malformed_partition_gets_a_holder_again(
         self, fleet, value, no_startup_delay, monkeypatch
     ):
         # Guards against a team whose requests are refused until the entry is removed.
@@ -59,8 +59,8 @@
         daemon = await start_gateway(fleet, "complete")
         key = ownership.find_partition_key("museum")
         fleet.store.put(key, value)
-        odd_revision = fleet.store.revision
-        await fleet.await_true(lambda: daemon.follower.revision >= odd_revision)
+        malformed_revision = fleet.store.revision
+        await fleet.await_true(lambda: daemon.follower.revision >= malformed_revision)
 
         def is_held_again():
             holder = daemon.follower.partitions.get(key)
@@ -71,7 +71,9 @@
 
 
 class TestReplacedEntries:
-    async def test_a_member_whose_entry_turns_odd_is_not_asked_any_more(self, fleet):
+    async def test_a_member_whose_entry_turns_malformed_is_not_asked_any_more(
+        self, fleet
+    ):
         # Guards against an entry that keeps an instance alive that left.
         daemon = await start_gateway(fleet, "complete")
         fleet.store.put("members/other", b'["10.0.0.9:1", "a", 1000.0]')
@@ -84,13 +86,15 @@
         # watch the store itself from then on.
         watcher = await fleet.add_gateway()
         other = await fleet.add_gateway()
-        fleet.store.put("members/odd", b"[" * 1_000_000)
+        fleet.store.put("members/malformed", b"[" * 1_000_000)
         revision = fleet.store.revision
         await fleet.await_true(lambda: watcher.follower.revision >= revision)
         await fleet.await_true(lambda: other.follower.revision >= revision)
         response = watcher.follower._handle_request("", ChangesRequest(revision - 1))
         sizes = [
-            len(value) for key, value, *_ in response.events if key == "members/odd"
+            len(value)
+            for key, value, *_ in response.events
+            if key == "members/malformed"
         ]
         assert sizes == [0]
 
@@ -101,8 +105,8 @@
         daemon = await start_gateway(fleet, "complete")
         key = ownership.find_partition_key("museum")
         fleet.store.put(key, b"5")
-        odd_revision = fleet.store.revision
-        await fleet.await_true(lambda: daemon.follower.revision >= odd_revision)
+        malformed_revision = fleet.store.revision
+        await fleet.await_true(lambda: daemon.follower.revision >= malformed_revision)
         await asyncio.sleep(0.5)
         assert fleet.store.values[key][0].value == b"5"
 
--- a/libraries/keys/shallotspindle_keys/directory.py
+++ b/libraries/keys/shallotspindle_keys/directory.py
@@ -11,10 +11,9 @@
 from itertools import islice
 
 from shallotspindle_core.failures import Failure
-from shallotspindle_core.identifiers import TeamName
+from shallotspindle_core.identifiers import KEY_DIGEST_BYTES, TeamName
 from shallotspindle_keys import digests
 
-DIGEST_BYTES = 32
 # One bucket for each value of a digest's first byte.
 BUCKET_COUNT = 256
 # Keys that are indexed at a time. Bounds the memory of digests that are held as
@@ -63,7 +62,7 @@
 
 
 def get_digest(bucket: DigestBucket, index: int) -> bytes:
-    return bucket.digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES]
+    return bucket.digests[index * KEY_DIGEST_BYTES : (index + 1) * KEY_DIGEST_BYTES]
 
 
 def find_index(bucket: DigestBucket, digest: bytes) -> int:
--- a/libraries/operations/shallotspindle_operations/key_commands.py
+++ b/libraries/operations/shallotspindle_operations/key_commands.py
@@ -10,6 +10,7 @@
 from shallotspindle_bundles.records import Bundle
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_core.failures import Failure
+from shallotspindle_core.identifiers import KEY_DIGEST_BYTES
 from shallotspindle_environment.interface import OutcomeUnknown, Store
 from shallotspindle_keys import digests
 from shallotspindle_operations import (
@@ -27,7 +28,6 @@
 from shallotspindle_settings.withdrawal import format_withdrawal
 
 KEY_BYTES = 32
-DIGEST_BYTES = 32
 
 app = App(name="key", help="Issue and withdraw the keys of callers.")
 
@@ -104,9 +104,9 @@
             digest_bytes = bytes.fromhex(digest)
         except ValueError:
             digest_bytes = b""
-        if len(digest_bytes) == DIGEST_BYTES:
+        if len(digest_bytes) == KEY_DIGEST_BYTES:
             return Ok(digest_bytes)
-        message = f"the digest must be {DIGEST_BYTES} bytes in hex"
+        message = f"the digest must be {KEY_DIGEST_BYTES} bytes in hex"
         return Error((SettingsFailure("--digest", message),))
     if secret is None or bundle is None:
         message = "either --digest or --secret and --bundle are required"
--- a/libraries/settings/shallotspindle_settings/borders_test.py
+++ b/libraries/settings/shallotspindle_settings/borders_test.py
@@ -16,7 +16,7 @@
     manifest,
     withdrawal,
 )
-from shallotspindle_validation.documents_test import draw_odd_bytes
+from shallotspindle_validation.documents_test import draw_malformed_bytes
 
 ROOT = Path(__file__).parents[3]
 EXAMPLE = ROOT / "examples" / "gyngehest"
@@ -58,17 +58,17 @@
 
 
 class TestFiles:
-    @given(draw_odd_bytes(ENTRY_SETTINGS))
+    @given(draw_malformed_bytes(ENTRY_SETTINGS))
     def test_settings_of_an_instance(self, tmp_path_factory, data):
-        # Guards against an odd settings file that raises in place of a message.
+        # Guards against a malformed settings file that raises in place of a message.
         path = tmp_path_factory.getbasetemp() / "entry.json"
         path.write_bytes(data)
         loaded = daemon.load_settings(path)
         assert loaded.is_ok() or loaded.error
 
-    @given(draw_odd_bytes(BUNDLE))
+    @given(draw_malformed_bytes(BUNDLE))
     def test_bundle(self, tmp_path_factory, data):
-        # Guards against an odd bundle file that raises in place of a message.
+        # Guards against a malformed bundle file that raises in place of a message.
         path = tmp_path_factory.getbasetemp() / "bundle.json"
         path.write_bytes(data)
         loaded = bundle.load_bundle(path)
@@ -76,39 +76,39 @@
 
 
 class TestStoredForms:
-    @given(draw_odd_bytes(MANIFEST))
+    @given(draw_malformed_bytes(MANIFEST))
     def test_manifest(self, data):
-        # Guards against an odd value that ends the following of the bundle.
+        # Guards against a malformed value that ends the following of the bundle.
         parsed = manifest.parse_manifest(data)
         if parsed.is_ok():
             assert 0 <= parsed.ok.version <= bounds.MAX_COUNTER
 
-    @given(draw_odd_bytes(DELTA))
+    @given(draw_malformed_bytes(DELTA))
     def test_delta(self, data):
-        # Guards against an odd value that ends the following of the bundle.
+        # Guards against a malformed value that ends the following of the bundle.
         decoded = deltas.decode_delta(data)
         assert decoded.is_ok() or decoded.error
 
-    @given(draw_odd_bytes(BUNDLE["teams"]))
+    @given(draw_malformed_bytes(BUNDLE["teams"]))
     def test_chunk_of_teams(self, data):
-        # Guards against an odd value that ends the following of the bundle.
+        # Guards against a malformed value that ends the following of the bundle.
         decoded = chunks.decode_bucket(Section.TEAMS, data)
         assert decoded.is_ok() or decoded.error
 
-    @given(draw_odd_bytes(BUNDLE["services"]))
+    @given(draw_malformed_bytes(BUNDLE["services"]))
     def test_chunk_of_services(self, data):
-        # Guards against an odd value that ends the following of the bundle.
+        # Guards against a malformed value that ends the following of the bundle.
         decoded = chunks.decode_bucket(Section.SERVICES, data)
         assert decoded.is_ok() or decoded.error
 
-    @given(draw_odd_bytes(WITHDRAWAL))
+    @given(draw_malformed_bytes(WITHDRAWAL))
     def test_withdrawal(self, data):
-        # Guards against an odd value that ends the following of withdrawals.
+        # Guards against a malformed value that ends the following of withdrawals.
         parsed = withdrawal.parse_withdrawal("withdrawal", data)
         assert parsed.is_ok() or parsed.error
 
-    @given(draw_odd_bytes(RECORD))
+    @given(draw_malformed_bytes(RECORD))
     def test_audit_record(self, data):
-        # Guards against an odd record that hides the audit trail.
+        # Guards against a malformed record that hides the audit trail.
         parsed = audit.parse_record("record", data)
         assert parsed.is_ok() or parsed.error
--- a/libraries/soak/shallotspindle_soak/faults.py
+++ b/libraries/soak/shallotspindle_soak/faults.py
@@ -45,7 +45,7 @@
     # Graceful shutdown of all gateways in turn.
     STOP_ALL = "roll"
     # Another writer leaves malformed entries in the store.
-    ODD_ENTRIES = "odd-entries"
+    MALFORMED_ENTRIES = "malformed-entries"
 
 
 # Relative frequency of each kind. The faults that a seed draws depend on the order.
@@ -75,7 +75,7 @@
     Fault.ENDLESS_BODY: 1,
     Fault.OVERLOAD: 2,
     Fault.STOP_ALL: 2,
-    Fault.ODD_ENTRIES: 2,
+    Fault.MALFORMED_ENTRIES: 2,
 }
 MAX_DURATION_SECONDS = 6.0
 # A gateway that is cut off from the store misses a withdrawal only if the key is
--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -36,7 +36,7 @@
     Fault.ENDLESS_BODY: UpstreamMode.ENDLESS_BODY,
 }
 # What another writer may leave under any key: see also the tests of the borders.
-ODD_VALUES = (
+MALFORMED_VALUES = (
     b"5",
     b"[" * 100_000,
     b"\xff\xfe",
@@ -72,7 +72,7 @@
             Fault.CHANGE_CONFIGURATION: self._change_configuration,
             Fault.OVERLOAD: self._overload,
             Fault.STOP_ALL: self._stop_all,
-            Fault.ODD_ENTRIES: self._write_odd_entries,
+            Fault.MALFORMED_ENTRIES: self._write_malformed_entries,
             **dict.fromkeys(MODES_BY_FAULT, self._degrade_upstream),
         }
 
@@ -265,16 +265,16 @@
         await asyncio.sleep(REMOVAL_DELAY_SECONDS)
         self._fleet.remove_upstream(proxied)
 
-    async def _write_odd_entries(self, event: FaultEvent) -> None:
+    async def _write_malformed_entries(self, event: FaultEvent) -> None:
         """Write malformed entries beside those of upstreams and gateways.
 
         For odd targets the holder of a partition is replaced too. That entry stays
         until a gateway acquires the partition.
         """
-        value = ODD_VALUES[event.target % len(ODD_VALUES)]
+        value = MALFORMED_VALUES[event.target % len(MALFORMED_VALUES)]
         store = self._fleet.store
         added_keys = [
-            f"{prefix}odd-{event.target}"
+            f"{prefix}malformed-{event.target}"
             for prefix in (ANNOUNCEMENT_PREFIX, MEMBER_PREFIX)
         ]
         for key in added_keys:
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -75,7 +75,7 @@
     "end_on_errors": ([FaultEvent(0.0, Fault.ERRORS, 2.0, 0)], "survival"),
     "trust_entries": (
         [
-            FaultEvent(0.0, Fault.ODD_ENTRIES, 6.0, 0),
+            FaultEvent(0.0, Fault.MALFORMED_ENTRIES, 6.0, 0),
             FaultEvent(1.0, Fault.DRAIN, 0.0, 0),
         ],
         "drain",
--- a/libraries/validation/shallotspindle_validation/documents_test.py
+++ b/libraries/validation/shallotspindle_validation/documents_test.py
@@ -1,4 +1,4 @@
-"""Decoding of documents, and the odd documents that the tests of all borders draw."""
+"""Decoding of documents, and the malformed ones that the tests of borders draw."""
 
 import copy
 import json
@@ -12,10 +12,10 @@
 from shallotspindle_core import bounds
 from shallotspindle_validation import documents, fields
 
-ODD_NUMBERS = st.sampled_from(
+MALFORMED_NUMBERS = st.sampled_from(
     [0, -1, 99_999, 2**31, 2**53, 2**63, 2**64, 10**30, 10**400, 1e300, 1e-300, -0.5]
 )
-ODD_TEXTS = st.sampled_from(
+MALFORMED_TEXTS = st.sampled_from(
     [
         "",
         "\x00",
@@ -31,17 +31,17 @@
         "\u0661",
     ]
 )
-ODD_LEAVES = st.one_of(
+MALFORMED_LEAVES = st.one_of(
     st.none(),
     st.booleans(),
-    ODD_NUMBERS,
+    MALFORMED_NUMBERS,
     st.integers(),
     st.floats(),
-    ODD_TEXTS,
+    MALFORMED_TEXTS,
     st.text(max_size=20),
 )
-ODD_VALUES = st.recursive(
-    ODD_LEAVES,
+MALFORMED_VALUES = st.recursive(
+    MALFORMED_LEAVES,
     lambda inner: st.one_of(
         st.lists(inner, max_size=3),
         st.dictionaries(st.text(max_size=5), inner, max_size=3),
@@ -49,7 +49,7 @@
     max_leaves=6,
 )
 # Texts that no JSON library writes.
-ODD_BYTES = st.one_of(
+MALFORMED_BYTES = st.one_of(
     st.binary(max_size=200),
     st.sampled_from(
         [
@@ -82,7 +82,7 @@
 
 
 @st.composite
-def draw_odd_documents(draw: st.DrawFn, document: Any) -> bytes:
+def draw_malformed_documents(draw: st.DrawFn, document: Any) -> bytes:
     """Return a document of which some values were replaced or removed, as JSON."""
     changed = copy.deepcopy(document)
     for _ in range(draw(st.integers(1, 3))):
@@ -94,18 +94,21 @@
         for key in parents:
             container = container[key]
         if draw(st.booleans()):
-            container[last] = draw(ODD_VALUES)
+            container[last] = draw(MALFORMED_VALUES)
         else:
             del container[last]
     return json.dumps(changed).encode()
 
 
-def draw_odd_bytes(document: Any) -> st.SearchStrategy[bytes]:
-    """Return odd documents, cut documents and bytes that are no document."""
-    odd = draw_odd_documents(document)
-    cut = st.builds(lambda data, size: data[:size], odd, st.integers(0, 200))
+def draw_malformed_bytes(document: Any) -> st.SearchStrategy[bytes]:
+    """Return malformed documents, cut documents and bytes that are no document."""
+    malformed = draw_malformed_documents(document)
+    cut = st.builds(lambda data, size: data[:size], malformed, st.integers(0, 200))
     return st.one_of(
-        odd, cut, ODD_BYTES, ODD_VALUES.map(lambda v: json.dumps(v).encode())
+        malformed,
+        cut,
+        MALFORMED_BYTES,
+        MALFORMED_VALUES.map(lambda v: json.dumps(v).encode()),
     )
 
 
@@ -119,7 +122,7 @@
 
 
 class TestDecoding:
-    @given(draw_odd_bytes(SAMPLE))
+    @given(draw_malformed_bytes(SAMPLE))
     def test_any_bytes_give_a_value_within_its_bounds_or_failures(self, data):
         # Guards against an exception in a task that reads what others wrote.
         decoded = documents.decode_model(Sample, "sample", data)
@@ -129,7 +132,7 @@
         assert 1 <= decoded.ok.slots <= bounds.MAX_SLOTS
         assert 0 <= decoded.ok.rate <= bounds.MAX_REQUESTS_PER_SECOND
 
-    @given(draw_odd_bytes(SAMPLE))
+    @given(draw_malformed_bytes(SAMPLE))
     def test_any_bytes_are_a_json_value_or_a_failure(self, data):
         # Guards against a RecursionError or a ValueError out of a JSON library.
         decoded = documents.decode_json("sample", data)
