Let requests wait for their token as long as their objective allows

Cause: a request was refused with 429 if its team's next token was due in more than 0.15 s, although its caller had 1.3 s.

Change: limits.waits decides the longest wait: half of the time to the latency objective and of the time to the deadline, and 1 s at most. What cannot get its token by then is refused at once with the time of the token, as before. The test of the rate over all gateways sent its requests one after the other, so that each waited for its token and none was refused; it now sends them together and keeps its two assertions.

--- a/libraries/gateway/shallotspindle_gateway/admission.py
+++ b/libraries/gateway/shallotspindle_gateway/admission.py
@@ -19,12 +19,11 @@
 from shallotspindle_gateway.ownership import PartitionOwnership, find_partition_key
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Bounds
+from shallotspindle_limits import waits
 from shallotspindle_limits.leased_buckets import Reservation, TeamBuckets
 from shallotspindle_limits.records import Limit
 
 RESPONSE_TIMEOUT_SECONDS = 0.1
-# A request waits for a token that is due within this time, else it is refused.
-MAX_TOKEN_WAIT_SECONDS = 0.15
 # A new holder of a partition starts without tokens. Requests that arrived during
 # the change wait up to this time for their token.
 NEW_HOLDER_WAIT_SECONDS = 0.6
@@ -63,9 +62,12 @@
         """Apply new bounds; buckets keep their window until their holder changes."""
         self._window_seconds = bounds.rate_window_seconds
 
-    async def acquire(self, team: Team, remaining_seconds: float) -> TokenResult:
+    async def acquire(
+        self, team: Team, objective_seconds: float, remaining_seconds: float
+    ) -> TokenResult:
         """Take one token of a team and wait until it may be used.
 
+        :param objective_seconds: time until the request misses its latency objective.
         :param remaining_seconds: time until the deadline of the caller's request.
         """
         if team.rate <= 0:
@@ -75,7 +77,7 @@
         )
         while True:
             result = await self._request_token(
-                self._build_request(team, remaining_seconds)
+                self._build_request(team, objective_seconds, remaining_seconds)
             )
             if isinstance(result, TokenGrant):
                 await asyncio.sleep(result.wait_seconds)
@@ -85,10 +87,13 @@
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     @staticmethod
-    def _build_request(team: Team, remaining_seconds: float) -> TokenRequest:
+    def _build_request(
+        team: Team, objective_seconds: float, remaining_seconds: float
+    ) -> TokenRequest:
         """Build the request; a new holder may delay it for half the remaining time."""
+        max_wait = waits.compute_max_wait(objective_seconds, remaining_seconds)
         new_holder_wait = min(NEW_HOLDER_WAIT_SECONDS, remaining_seconds / 2)
-        return TokenRequest(team.name, MAX_TOKEN_WAIT_SECONDS, new_holder_wait)
+        return TokenRequest(team.name, max_wait, new_holder_wait)
 
     async def _request_token(self, request: TokenRequest) -> TokenResult:
         holder = self._ownership.find_holder(find_partition_key(request.team))
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -314,11 +314,10 @@
         second = await fleet.add_gateway(domain="b")
         await fleet.await_true(lambda: len(second.follower.members) == 2)
         started = asyncio.get_running_loop().time()
-        statuses = [
-            (await fleet.send(daemon))[0]
-            for _ in range(15)
-            for daemon in (first, second)
-        ]
+        responses = await asyncio.gather(
+            *(fleet.send(daemon) for _ in range(15) for daemon in (first, second))
+        )
+        statuses = [status for status, _, _ in responses]
         passed = asyncio.get_running_loop().time() - started
         assert statuses.count(200) <= 3.0 * passed + 3.0 + 1.0
         assert statuses.count(429) > 0
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -63,6 +63,11 @@
     arrived_at: float
     deadline: float
 
+    @property
+    def objective_deadline(self) -> float:
+        """When a response misses the latency objective, as boot-time in seconds."""
+        return self.arrived_at + (self.route.objective or self.route.timeout)
+
 
 class RequestStep(StrEnum):
     """The last step that a request reached.
@@ -285,8 +290,10 @@
     async def _acquire_token(self, call: Call) -> Problem | None:
         if call.team is None:
             return None
-        remaining_seconds = call.deadline - self._clock.boottime()
-        response = await self._admission.acquire(call.team, remaining_seconds)
+        now = self._clock.boottime()
+        response = await self._admission.acquire(
+            call.team, call.objective_deadline - now, call.deadline - now
+        )
         if isinstance(response, TokenGrant):
             return None
         if isinstance(response, TokenDenial):
@@ -369,8 +376,7 @@
             priority=call.route.priority if priority is None else priority,
             has_large_body=len(body.prefix) > LARGE_BODY_BYTES,
             deadline=call.deadline,
-            objective_deadline=call.arrived_at
-            + (call.route.objective or call.route.timeout),
+            objective_deadline=call.objective_deadline,
             fingerprint=fingerprint,
             route_hash=hashing.hash_text("route", call.route.name),
         )
--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -111,7 +111,7 @@
 def ignore_rates() -> None:
     """Admit every request."""
 
-    async def acquire(self, team, seconds):
+    async def acquire(self, team, objective_seconds, remaining_seconds):
         return TokenGrant(0.0)
 
     Admission.acquire = acquire
