Use arrivals in a fixed order in the test of waits

Change: the gaps between arrivals have the distribution of independent arrivals, in a fixed order made from squares.

--- a/libraries/limits/shallotspindle_limits/waits_test.py
+++ b/libraries/limits/shallotspindle_limits/waits_test.py
@@ -1,4 +1,4 @@
-from random import Random
+import math
 
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_limits import waits
@@ -10,6 +10,7 @@
 WINDOW_SECONDS = 5.0
 OBJECTIVE_SECONDS = 1.3
 TIMEOUT_SECONDS = 4.3
+GOLDEN_RATIO = (math.sqrt(5.0) - 1.0) / 2.0
 
 
 def play(arrivals: list[float], objective_seconds: float) -> list[float | None]:
@@ -49,12 +50,13 @@
         assert None not in served
         assert max(served) <= OBJECTIVE_SECONDS / 2
 
-    def test_random_arrivals_within_the_limit_are_rarely_refused(self):
-        # Guards against refusals within the rate at arrivals that are not even.
-        random = Random(5)
+    def test_uneven_arrivals_within_the_limit_are_rarely_refused(self):
+        # Guards against refusals within the rate at arrivals that are not even. The
+        # gaps have the distribution of independent arrivals, in a fixed order.
         now, arrivals = 0.0, []
-        while now < 300.0:
-            now += random.expovariate(0.85 * LIMIT.rate)
+        for number in range(2000):
+            quantile = number * number * GOLDEN_RATIO % 1.0
+            now -= math.log(1.0 - quantile) / (0.85 * LIMIT.rate)
             arrivals.append(now)
         refused = play(arrivals, OBJECTIVE_SECONDS).count(None)
         refused_without_waiting = play(arrivals, 0.0).count(None)
