Restore an instance's own entry that another writer replaced

Cause: an instance whose member key was replaced or removed by another writer stayed unknown to its peers until its process was replaced, since it writes the key only when it gets a lease.

Change: if the view is newer than the write of the key and lacks the instance, the lease task writes the key again under the same lease.

--- a/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
+++ b/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
@@ -81,6 +81,15 @@
         fleet.store.put("members/other", b"5")
         await fleet.await_true(lambda: "members/other" not in daemon.follower.members)
 
+    async def test_an_instance_restores_its_own_entry(self, fleet, no_startup_delay):
+        # Guards against an instance that lends and watches for nobody any more because
+        # another writer replaced its entry.
+        daemon = await start_gateway(fleet, "complete")
+        (key,) = daemon.follower.members
+        fleet.store.put(key, b"5")
+        await fleet.await_true(lambda: key not in daemon.follower.members)
+        await fleet.await_true(lambda: key in daemon.follower.members)
+
     async def test_an_oversized_entry_reaches_the_peers_without_its_value(self, fleet):
         # Guards against a change that fits into no datagram: every instance would
         # watch the store itself from then on.
--- a/libraries/gateway/shallotspindle_gateway/ownership.py
+++ b/libraries/gateway/shallotspindle_gateway/ownership.py
@@ -79,6 +79,8 @@
         self._lease: Lease | None = None
         self._valid_until = float("-inf")
         self._is_leaving = False
+        # Revision of the write of this instance's member key.
+        self._member_revision = 0
         self._started_at = clock.boottime()
         # Whether other instances held partitions, so that the fleet started earlier.
         self._is_fleet_running = False
@@ -165,6 +167,8 @@
             and not await self._renew()
         ):
             return RETRY_DELAY_SECONDS
+        elif self._is_membership_replaced():
+            await self._write_membership()
         return (
             RENEWAL_INTERVAL_SECONDS
             if await self._acquire_free_partitions()
@@ -179,17 +183,31 @@
             case Result(tag="error", error=failure):
                 logging.warning("the store granted no lease: %s", failure)
                 return False
+        if not await self._write_membership():
+            self._lease = None
+            return False
+        self._valid_until = sent_at + lease.seconds
+        return True
+
+    async def _write_membership(self) -> bool:
+        """Write this instance's member key; return whether it is known to be stored."""
         value = stored_forms.encode_member(self._own_instance)
         written = await self._store.write_if_unchanged(
             {self._member_key: value}, {}, self._lease.lease_id
         )
         if written.is_error():
             logging.warning("could not write the membership: %s", written.error)
-            self._lease = None
             return False
-        self._valid_until = sent_at + lease.seconds
+        self._member_revision = written.ok
         return True
 
+    def _is_membership_replaced(self) -> bool:
+        """Return whether another writer removed or replaced the member key."""
+        return (
+            self._follower.revision > self._member_revision
+            and self._member_key not in self._follower.members
+        )
+
     async def _renew(self) -> bool:
         sent_at = self._clock.boottime()
         match await self._store.renew_lease(self._lease.lease_id):
