Report malformed responses of instances in the operators' command

Cause: `shallotspindle status` parsed responses with json.loads, which raises RecursionError for nested brackets: one instance ended the command.

Change: the shared decoder; a malformed response is a typed failure that names the instance.

--- a/libraries/operations/shallotspindle_operations/instances.py
+++ b/libraries/operations/shallotspindle_operations/instances.py
@@ -1,7 +1,6 @@
 """HTTP client for the administration endpoints of instances."""
 
 import asyncio
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -12,8 +11,10 @@
 
 from shallotspindle_core.failures import Failure
 from shallotspindle_environment.interface import OutcomeUnknown
+from shallotspindle_validation import documents
 
 CALL_TIMEOUT_SECONDS = 2.0
+MALFORMED = "the response is malformed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +70,10 @@
                 return Error(
                     InstanceFailure(address, "the instance rejected the request", item)
                 )
-            return Ok(json.loads(text) if text.strip() else {})
+            decoded = documents.decode_json(address, text.strip() or "{}")
+            return decoded.map_error(
+                lambda failure: OutcomeUnknown(address, MALFORMED, str(failure))
+            )
     except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
         return Error(InstanceFailure(address, "could not connect", str(error)))
     except (TimeoutError, aiohttp.ClientError, ValueError) as error:
@@ -96,5 +100,4 @@
     try:
         return Ok(model.model_validate(response.ok))
     except ValidationError as error:
-        message = "the response is malformed"
-        return Error(InstanceFailure(address, message, str(error.errors()[0]["loc"])))
+        return Error(InstanceFailure(address, MALFORMED, str(error.errors()[0]["loc"])))
