Accept informational responses without a request id on kept connections

Change: only final responses must name their requests.

Result: the new test fails before and passes after; 62 tests of frontend and forwarding of the entry daemon pass.

--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -169,6 +169,23 @@
         assert b"whole" in await proxy.get()
         assert proxy.upstream.connections == 2
 
+    async def test_informational_response_needs_no_request_id(self, proxy):
+        # Guards against a sound response that is dropped on a kept connection because
+        # the informational response before it names no request.
+        hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+        async def respond_with_hints(reader, writer):
+            for _ in range(2):
+                head = await proxy.upstream.read_head(reader)
+                named = proxy.upstream.name_request(head, OK_RESPONSE)
+                writer.write(hints + named)
+                await writer.drain()
+
+        proxy.upstream.scripts = [respond_with_hints]
+        for _ in range(2):
+            assert b"whole" in await proxy.get()
+        assert proxy.upstream.connections == 1
+
     async def test_refusal_of_another_request_proves_nothing(self, proxy):
         # Guards against a repeated refusal that makes a deposit run at a second
         # upstream, or a caller believe that it did not run.
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -26,6 +26,8 @@
 # not read the request would keep the connection open indefinitely.
 FLUSH_TIMEOUT_SECONDS = 2.0
 HEAD_END = b"\r\n\r\n"
+# Informational responses come before the final one and need not repeat its headers.
+MIN_FINAL_STATUS = 200
 
 
 class ResponseAbortedError(aiohttp.ClientPayloadError):
@@ -80,15 +82,19 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Handle a parsed head; one that names no request may be a late copy."""
-        message = data[0]
-        header = self._request_id_header
-        if header is not None and header not in message.headers:
+        if self._lacks_request_id(data[0]):
             if self._is_reused:
                 self.abort_response(ResponseFault.UNNAMED)
                 return
             self.force_close()
         super().feed_data(data, size)
 
+    def _lacks_request_id(self, message: RawResponseMessage) -> bool:
+        """Return whether a final response should name its request and does not."""
+        header = self._request_id_header
+        is_final = message.code >= MIN_FINAL_STATUS
+        return header is not None and is_final and header not in message.headers
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self.was_reset = exc is not None
         self._on_size_change(self, 0)
