Add up unexpected errors of one kind over the tasks of the entry daemon

The metric was set once a task, so that of two tasks with errors of one kind the last one hid the other's count. MaxLength of core.bounds was used nowhere, and a comment in claims.py stood above the wrong line.

MaxLength is removed, the comment moved.

--- a/libraries/core/shallotspindle_core/bounds.py
+++ b/libraries/core/shallotspindle_core/bounds.py
@@ -44,16 +44,6 @@
         return self.minimum <= value <= self.maximum
 
 
-@dataclass(frozen=True, slots=True)
-class MaxLength:
-    """Allows texts and sequences up to a length."""
-
-    length: int
-
-    def accepts(self, value: Any) -> bool:
-        return len(value) <= self.length
-
-
 @dataclass(frozen=True, slots=True)
 class AddressFormat:
     """Allows texts of the form ``ip:port``."""
--- a/libraries/entry/shallotspindle_entry/claims.py
+++ b/libraries/entry/shallotspindle_entry/claims.py
@@ -119,9 +119,9 @@
     KIND: ClassVar[str] = "done"
 
 
-# The fields of a claim in the order of ``ClaimSnapshot``; the digests are in hex.
 ClaimSeconds = Annotated[float, Field(ge=-MAX_SECONDS, le=MAX_SECONDS)]
 Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{2})*$")]
+# The fields of a claim in the order of ``ClaimSnapshot``; the digests are in hex.
 ClaimRow = tuple[Digest, Digest, Name, Address, Name, Revision, bool, ClaimSeconds]
 SNAPSHOT_ADAPTER = TypeAdapter(tuple[ClaimSeconds, list[ClaimRow]])
 
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -29,6 +29,7 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_health.detection import HealthState, UpstreamDescription
 from shallotspindle_settings.daemon import Address, EntrySettings
+from shallotspindle_telemetry import unexpected
 from shallotspindle_telemetry.metrics import RequestMetrics
 
 READY_STATUS = 200
@@ -131,8 +132,8 @@
         self._metrics.set_state(version, self._lifecycle.running_requests)
         traffic = self._coordination.peers.traffic
         self._metrics.set_peer_traffic(traffic.sent_bytes, traffic.received_bytes)
-        for task in self._coordination.list_tasks():
-            self._metrics.set_unexpected_errors(task.errors.counts)
+        errors = (task.errors for task in self._coordination.list_tasks())
+        self._metrics.set_unexpected_errors(unexpected.sum_counts(errors))
         return self._metrics.render()
 
     async def describe_upstreams(self) -> tuple[int, Any]:
--- a/libraries/telemetry/shallotspindle_telemetry/unexpected.py
+++ b/libraries/telemetry/shallotspindle_telemetry/unexpected.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
 from absl import logging
@@ -38,3 +38,11 @@
         self.counts[kind] += 1
         if self.counts[kind] <= MAX_TRACEBACKS_PER_KIND:
             logging.exception("unexpected error while handling %s", kind)
+
+
+def sum_counts(sources: Iterable[UnexpectedErrors]) -> Counter[str]:
+    """Return the errors of several tasks by kind; tasks may share a kind."""
+    total: Counter[str] = Counter()
+    for source in sources:
+        total.update(source.counts)
+    return total
