Report rejected configurations and from where a version came

Cause: nothing but one log line told that an instance refused the newest configuration, and neither logs nor metrics could tell an instance that learns of no change from one that refuses it or from a store that does not have it.

Change: the gauge shallotspindle_state has the values rejected, revision and store_age; the log lines on an active and on a rejected configuration name its revision and the store or the peer that sent it.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -80,6 +80,8 @@
 # happened to the calls of this instance. A watch without changes gets its response
 # after ``WATCH_SECONDS``; a poll and a delay come on top.
 MIN_UNREACHABLE_SECONDS = 1.6
+# Names the store in log lines where a peer has its address.
+STORE_SOURCE = "the store"
 Listener = Callable[[], None]
 
 
@@ -120,6 +122,8 @@
         self._must_watch = asyncio.Event()
         self._full_read_at = float("-inf")
         self.configuration: Configuration = EMPTY_CONFIGURATION
+        # Whether the newest configuration was invalid, so that an older one is active.
+        self.is_configuration_rejected = False
         self.upstreams = UpstreamDirectory()
         self.members: dict[str, Member] = {}
         # Instances whose membership ended, with the boot-time of that in seconds.
@@ -140,6 +144,10 @@
         """Return the time since the last confirmation, in seconds."""
         return now - self._confirmed_at
 
+    def compute_response_age(self, now: float) -> float:
+        """Return the time up to which changes may be unknown, in seconds."""
+        return now - self._complete_until
+
     async def start(self) -> None:
         self.start_event.set()
         while not self._log.revision:
@@ -188,10 +196,10 @@
 
     def _is_store_unresponsive(self) -> bool:
         """Return whether the store fails, or did not respond for too long."""
-        store_response_age = self._clock.boottime() - self._complete_until
+        response_age = self.compute_response_age(self._clock.boottime())
         return (
             self._failing_since is not None
-            or store_response_age > MAX_STORE_RESPONSE_AGE_SECONDS
+            or response_age > MAX_STORE_RESPONSE_AGE_SECONDS
         )
 
     # Calls to the store.
@@ -242,9 +250,13 @@
                 await self._record_store_failure(failure)
         return False
 
-    def _apply_unless_outdated(self, changes: Changes) -> None:
+    def _apply_unless_outdated(
+        self, changes: Changes, source: str = STORE_SOURCE
+    ) -> None:
         """Apply changes, unless later ones have arrived meanwhile.
 
+        :param source: address of the peer that sent them, for log lines.
+
         The changes start at the revision that was known when the request was sent. An
         outdated response would therefore revert changes that are known by now.
         """
@@ -253,7 +265,7 @@
                 event if isinstance(event, str) else self._limit_size(event)
                 for event in changes.events
             )
-            self._apply(Changes(events, changes.revision))
+            self._apply(Changes(events, changes.revision), source)
 
     def _limit_size(self, stored: StoredValue) -> StoredValue:
         """Drop the value of an oversized entry; a configuration may be large."""
@@ -385,14 +397,16 @@
                 address, request, RESPONSE_TIMEOUT_SECONDS
             )
             if not isinstance(response, ChangesResponse) or not self._apply_response(
-                response, sent_at
+                response, sent_at, address
             ):
                 continue
             if response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS:
                 return True
         return False
 
-    def _apply_response(self, response: ChangesResponse, sent_at: float) -> bool:
+    def _apply_response(
+        self, response: ChangesResponse, sent_at: float, sender: str
+    ) -> bool:
         if response.is_history_missing:
             return False
         events = tuple(
@@ -406,7 +420,7 @@
         ):
             self.upstreams.extend_grace_period(response.grace_seconds, now)
             self._schedule_expiry(response.grace_seconds)
-        self._apply_unless_outdated(Changes(events, response.revision))
+        self._apply_unless_outdated(Changes(events, response.revision), sender)
         if response.is_complete:
             # Counted from the sending of the request, so that a delay on the network
             # makes the confirmation older, never younger.
@@ -419,7 +433,9 @@
     def _handle_request(self, sender: str, request: ChangesRequest) -> ChangesResponse:
         now = self._clock.boottime()
         age = min(MAX_REPORTED_AGE_SECONDS, self.compute_confirmation_age(now))
-        store_response_age = min(MAX_REPORTED_AGE_SECONDS, now - self._complete_until)
+        store_response_age = min(
+            MAX_REPORTED_AGE_SECONDS, self.compute_response_age(now)
+        )
         grace = self.upstreams.get_remaining_grace(now)
         return self._log.build_response(
             request.revision, ViewFreshness(age, store_response_age, grace)
@@ -427,20 +443,20 @@
 
     # Changes of the view.
 
-    def _apply(self, changes: Changes) -> None:
+    def _apply(self, changes: Changes, source: str = STORE_SOURCE) -> None:
         now = self._clock.boottime()
         for event in self._log.add(changes):
             with self._errors.absorb("entry of the store"):
                 if isinstance(event, StoredValue):
-                    self._apply_value(event, now)
+                    self._apply_value(event, now, source)
                 else:
                     self._apply_removal(event, now)
         if changes.events:
             self._notify()
 
-    def _apply_value(self, stored: StoredValue, now: float) -> None:
+    def _apply_value(self, stored: StoredValue, now: float, source: str) -> None:
         if self._decoder.is_configuration(stored.key):
-            self._apply_configuration(stored.value)
+            self._apply_configuration(stored, source)
         elif self._decoder.is_announcement(stored.key):
             self._apply_announcement(stored, now)
         elif stored.key.startswith(stored_forms.MEMBER_PREFIX):
@@ -487,18 +503,30 @@
                 logging.warning("a partition has no valid holder: %s", failure)
                 self.partitions[stored.key] = UnreadableHolder(stored.revision, now)
 
-    def _apply_configuration(self, document: bytes) -> None:
-        match self._decoder.decode_configuration(document):
+    def _apply_configuration(self, stored: StoredValue, source: str) -> None:
+        match self._decoder.decode_configuration(stored.value):
             case Result(tag="ok", ok=Configuration() as configuration):
+                self.is_configuration_rejected = False
                 if configuration.bundle.version <= self.configuration.bundle.version:
                     return
                 self.configuration = configuration
                 logging.info(
-                    "configuration version %d is active", configuration.bundle.version
+                    "configuration version %d is active (revision %d, from %s)",
+                    configuration.bundle.version,
+                    stored.revision,
+                    source,
                 )
             case Result(tag="error", error=failures):
+                self.is_configuration_rejected = True
                 for failure in failures:
-                    logging.error("rejected the new configuration: %s", failure)
+                    logging.error(
+                        "rejected the configuration of revision %d, from %s; "
+                        "version %d stays active: %s",
+                        stored.revision,
+                        source,
+                        self.configuration.bundle.version,
+                        failure,
+                    )
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -7,6 +7,7 @@
 
 from expression import Error, Ok, Result
 
+from shallotspindle_core.failures import Failure
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
@@ -261,7 +262,7 @@
         follower = self.follow(put, UPSTREAM.key, revision=12)
         event = (put.key, put.value, 11, False)
         response = ChangesResponse(11, 0.1, 0.1, events=(event,))
-        follower._apply_response(response, SystemClock().boottime())
+        follower._apply_response(response, SystemClock().boottime(), "10.0.0.2:1")
         assert not has_upstream(follower)
 
     def test_an_outdated_peer_removes_no_upstream(self):
@@ -269,7 +270,7 @@
         put = StoredValue(UPSTREAM.key, UPSTREAM.value, 12)
         follower = self.follow(UPSTREAM.key, put, revision=12)
         response = ChangesResponse(11, 0.1, 0.1, events=((put.key, b"", 0, True),))
-        follower._apply_response(response, SystemClock().boottime())
+        follower._apply_response(response, SystemClock().boottime(), "10.0.0.2:1")
         assert has_upstream(follower)
 
 
@@ -357,3 +358,34 @@
             follower._apply_snapshot(Snapshot(store.values, 10), 0.0)
             follower._apply_unless_outdated(Changes(("upstreams/u1",), 15))
             assert len(follower.upstreams.list_usable(SERVICE)) == 2
+
+
+class RejectingDecoder(DocumentDecoder):
+    """Decoder that finds a fault in each configuration whose version is odd."""
+
+    def decode_configuration(self, data):
+        decoded = super().decode_configuration(data)
+        if decoded.ok.bundle.version % 2:
+            return Error((Failure("configuration", "odd"), Failure("test", "odd")))
+        return decoded
+
+
+class TestRejectedConfigurations:
+    def test_a_rejected_configuration_is_reported_until_a_valid_one_arrives(self):
+        # Guards against an instance that serves an older version and tells nobody.
+        follower = StoreFollower(
+            OWN_INSTANCE,
+            ScriptedStore(()),
+            RejectingDecoder(),
+            ScriptedPeers(),
+            SystemClock(),
+            UnexpectedErrors(),
+        )
+        observed = []
+        for version in (2, 3, 4):
+            document = json.dumps({"version": version, "keys": [], "rate": 1.0})
+            stored = StoredValue("configuration", document.encode(), version)
+            follower._apply(Changes((stored,), version))
+            active_version = follower.configuration.bundle.version
+            observed.append((active_version, follower.is_configuration_rejected))
+        assert observed == [(2, False), (2, True), (4, False)]
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -20,6 +20,8 @@
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
+# Stands for an infinite age in metrics and logs.
+MAX_AGE_SECONDS = 9999.0
 LineWriter = Callable[[str], object]
 
 
@@ -77,7 +79,9 @@
         )
         self._state_gauge = Gauge(
             "shallotspindle_state",
-            "Version in force, age of its confirmation and log lines left out.",
+            "Version in force, age of its confirmation, whether a newer version was "
+            "rejected, revision of the view, age of the last response of the store "
+            "and log lines left out.",
             registry=self._registry,
         )
 
@@ -117,7 +121,9 @@
             "service": trace.service,
             "no_slot": trace.slot_refusal,
             "version": trace.config_version,
-            "confirmed_before": round(min(trace.config_age_seconds, 9999.0), 3),
+            "confirmed_before": round(
+                min(trace.config_age_seconds, MAX_AGE_SECONDS), 3
+            ),
             "sends": [describe_attempt(attempt) for attempt in trace.attempts],
         }
         try:
@@ -127,15 +133,21 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the Prometheus text format, with the HTTP headers."""
-        now = self._clock.boottime()
-        version = self.follower.configuration.bundle.version
-        self._state_gauge.set({"value": "version"}, version)
-        self._state_gauge.set(
-            {"value": "age"}, min(9999.0, self.follower.compute_confirmation_age(now))
-        )
-        self._state_gauge.set(
-            {"value": "lines_left_out"}, self._log_limiter.dropped_lines
-        )
+        for name, value in self._read_state().items():
+            self._state_gauge.set({"value": name}, value)
         for kind, count in self._errors.counts.items():
             self._error_counter.set({"kind": kind}, count)
         return render(self._registry, ["text/plain"])
+
+    def _read_state(self) -> dict[str, float]:
+        """Return the values of the state gauge by name."""
+        now = self._clock.boottime()
+        follower = self.follower
+        return {
+            "version": follower.configuration.bundle.version,
+            "age": min(MAX_AGE_SECONDS, follower.compute_confirmation_age(now)),
+            "rejected": int(follower.is_configuration_rejected),
+            "revision": follower.revision,
+            "store_age": min(MAX_AGE_SECONDS, follower.compute_response_age(now)),
+            "lines_left_out": self._log_limiter.dropped_lines,
+        }
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -26,6 +26,9 @@
     follower = SimpleNamespace(
         configuration=SimpleNamespace(bundle=SimpleNamespace(version=4)),
         compute_confirmation_age=lambda now: 1.5,
+        compute_response_age=lambda now: 0.25,
+        is_configuration_rejected=True,
+        revision=7,
     )
     reporter = Reporter(
         "g", follower, SystemClock(), UnexpectedErrors(), written.append
@@ -75,7 +78,15 @@
         )
         sends = 'shallotspindle_sends_total{outcome="truncated",service="service-1"} 1'
         assert sends in lines
-        for name, value in (("version", "4"), ("age", "1.5"), ("lines_left_out", "0")):
+        states = {
+            "version": "4",
+            "age": "1.5",
+            "rejected": "1",
+            "revision": "7",
+            "store_age": "0.25",
+            "lines_left_out": "0",
+        }
+        for name, value in states.items():
             assert f'shallotspindle_state{{value="{name}"}} {value}' in lines
 
 
