--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -140,6 +140,19 @@
         return self._check_available() or Ok(None)
 
 
+class RejectingStore(MemoryStore):
+    """Store that rejects all calls of the instance that uses this object."""
+
+    async def renew_lease(self, lease):
+        return Error(StoreFailure("store", "refused"))
+
+    async def watch(self, revision, seconds):
+        return Error(StoreFailure("store", "refused"))
+
+    async def read_all(self):
+        return await self.watch(0, 1.0)
+
+
 class DocumentDecoder:
     """Decodes the documents that this module writes into the store."""
 
@@ -251,7 +264,7 @@
         self.upstreams: dict[str, FakeUpstream] = {}
         self.daemons: list[Daemon] = []
         self.session = aiohttp.ClientSession()
-        self._start_tasks: list[asyncio.Task] = []
+        self._start_tasks: dict[Daemon, list[asyncio.Task]] = {}
         self._servers: list = []
         self._request_numbers = itertools.count()
 
@@ -279,14 +292,19 @@
         domain: str = "a",
         bounds: Bounds = BOUNDS,
         response_limits: ResponseLimits = DEFAULT_LIMITS,
+        peers: Endpoint = Endpoint("127.0.0.1", 0),
     ) -> Daemon:
+        """Start a gateway and return when it is ready.
+
+        :param peers: address for other gateways; that of a former one for a restart.
+        """
         any_port = Endpoint("127.0.0.1", 0)
         settings = Settings(
             f"gateway-{len(self.daemons)}",
             FailureDomain(domain),
             any_port,
             any_port,
-            any_port,
+            peers,
             any_port,
             bounds=bounds,
             response_limits=response_limits,
@@ -294,9 +312,11 @@
         daemon = Daemon(settings, self.store, DocumentDecoder(), SystemClock())
         self.daemons.append(daemon)
         loop = asyncio.get_running_loop()
+        self._start_tasks[daemon] = []
         for service in daemon.services:
             service.set_loop(loop)
-            self._start_tasks.append(asyncio.create_task(service.start()))
+            task = asyncio.create_task(service.start())
+            self._start_tasks[daemon].append(task)
         await self.await_true(daemon.is_ready)
         return daemon
 
@@ -318,14 +338,20 @@
         ) as response:
             return response.status, response.headers.copy(), await response.read()
 
+    async def kill(self, daemon: Daemon) -> None:
+        """End a gateway without a graceful shutdown."""
+        self.daemons.remove(daemon)
+        for service in reversed(daemon.services):
+            await service.stop()
+        start_tasks = self._start_tasks.pop(daemon)
+        for start_task in start_tasks:
+            start_task.cancel()
+        await asyncio.gather(*start_tasks, return_exceptions=True)
+
     async def close(self) -> None:
         await self.session.close()
-        for daemon in self.daemons:
-            for service in reversed(daemon.services):
-                await service.stop()
-        for start_task in self._start_tasks:
-            start_task.cancel()
-        await asyncio.gather(*self._start_tasks, return_exceptions=True)
+        for daemon in list(self.daemons):
+            await self.kill(daemon)
         for listener, server in self._servers:
             listener.close()
             await server.shutdown(0)
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -14,6 +14,7 @@
     SERVICE,
     MemoryStore,
     RawCaller,
+    RejectingStore,
     build_order,
     start_gateway,
 )
@@ -34,19 +35,6 @@
         return await self.watch(0, 1.0)
 
 
-class RejectingStore(MemoryStore):
-    """Store that rejects all calls of the instance that uses this object."""
-
-    async def renew_lease(self, lease):
-        return Error(StoreFailure("store", "refused"))
-
-    async def watch(self, revision, seconds):
-        return Error(StoreFailure("store", "refused"))
-
-    async def read_all(self):
-        return await self.watch(0, 1.0)
-
-
 class TestResponses:
     async def test_a_complete_response_is_passed_on_unchanged(self, fleet):
         # Guards against a body or header that is lost on the way.
