Send changes that do not fit into a datagram in parts

Callers could be refused by a version that was long replaced: an instance that the store turns away learns of changes from its peers, and a configuration of 12,000 keys (312 KB) never reached it, nor did any later change.

Cause: one change that does not fit into a datagram holds up all that follow it. The receiver cut the decompressed envelope at 256 KB without an error, so that the codec reported "not a msgpack value" for each response; what was longer than 64 KB packed was not sent at all, with a debug line.

Change: a responder whose changes do not fit offers them and keeps their encoded form; the requester fetches it in parts of 16 KB, each with its own timeout. An envelope is never cut any more, and a message that is too long is logged as an error.

--- a/libraries/gateway/shallotspindle_gateway/changelog.py
+++ b/libraries/gateway/shallotspindle_gateway/changelog.py
@@ -4,10 +4,13 @@
 still sends its peers only what changed.
 """
 
+import itertools
+import operator
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from shallotspindle_gateway.messages import ChangesResponse
+from shallotspindle_gateway.messages import ChangesResponse, StoreEvent
 from shallotspindle_gateway.storage import Changes, Snapshot, StoredValue
 
 MAX_ENTRIES = 1024
@@ -75,30 +78,37 @@
     def build_response(
         self, revision: int, freshness: ViewFreshness
     ) -> ChangesResponse:
-        """Return the changes after a revision, as many as fit into one datagram."""
+        """Return the changes after a revision, as many as fit into one datagram.
+
+        Changes with one revision stay together. If they alone are too large for a
+        datagram, the response contains nothing else.
+        """
         if revision < self._complete_since or not self.revision:
             return self._build(self.revision, freshness, is_history_missing=True)
-        events: list[tuple[str, bytes, int, bool]] = []
+        events: list[StoreEvent] = []
         size = 0
         last_revision = revision
-        for changed_at, event in self._entries:
-            if changed_at <= revision:
-                continue
-            entry = (event, b"", 0, True) if isinstance(event, str) else _pack(event)
-            size += len(entry[0]) + len(entry[1])
-            if size > MAX_RESPONSE_BYTES and events and changed_at > last_revision:
+        for changed_at, changes in self._group_by_revision(revision):
+            size += sum(len(event[0]) + len(event[1]) for event in changes)
+            if size > MAX_RESPONSE_BYTES and events:
                 return self._build(
                     last_revision, freshness, tuple(events), is_complete=False
                 )
-            events.append(entry)
+            events.extend(changes)
             last_revision = changed_at
         return self._build(max(self.revision, revision), freshness, tuple(events))
 
+    def _group_by_revision(self, since: int) -> Iterator[tuple[int, list[StoreEvent]]]:
+        """Yield the changes after a revision, in order and grouped by revision."""
+        later = (entry for entry in self._entries if entry[0] > since)
+        for changed_at, entries in itertools.groupby(later, operator.itemgetter(0)):
+            yield changed_at, [_pack(event) for _, event in entries]
+
     @staticmethod
     def _build(
         revision: int,
         freshness: ViewFreshness,
-        events: tuple[tuple[str, bytes, int, bool], ...] = (),
+        events: tuple[StoreEvent, ...] = (),
         *,
         is_history_missing: bool = False,
         is_complete: bool = True,
@@ -114,5 +124,8 @@
         )
 
 
-def _pack(stored: StoredValue) -> tuple[str, bytes, int, bool]:
-    return (stored.key, stored.value, stored.revision, False)
+def _pack(event: StoredValue | str) -> StoreEvent:
+    """Return an event in the form in which it is sent to peers."""
+    if isinstance(event, str):
+        return (event, b"", 0, True)
+    return (event.key, event.value, event.revision, False)
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -52,6 +52,7 @@
 # More than the sockets between a gateway and its caller can buffer.
 LARGE_BYTES = 16 * 1024 * 1024
 BOUNDS = Bounds()
+ANY_PORT = Endpoint("127.0.0.1", 0)
 
 
 class MemoryStore:
@@ -292,20 +293,19 @@
         domain: str = "a",
         bounds: Bounds = BOUNDS,
         response_limits: ResponseLimits = DEFAULT_LIMITS,
-        peers: Endpoint = Endpoint("127.0.0.1", 0),
+        peers: Endpoint = ANY_PORT,
     ) -> Daemon:
         """Start a gateway and return when it is ready.
 
         :param peers: address for other gateways; that of a former one for a restart.
         """
-        any_port = Endpoint("127.0.0.1", 0)
         settings = Settings(
             f"gateway-{len(self.daemons)}",
             FailureDomain(domain),
-            any_port,
-            any_port,
+            ANY_PORT,
+            ANY_PORT,
             peers,
-            any_port,
+            ANY_PORT,
             bounds=bounds,
             response_limits=response_limits,
         )
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -23,10 +23,15 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.interface import StoreFailure
-from shallotspindle_gateway import stored_forms
+from shallotspindle_gateway import stored_forms, transfers
 from shallotspindle_gateway.changelog import ChangeLog, ViewFreshness
 from shallotspindle_gateway.election import rank_members
-from shallotspindle_gateway.messages import ChangesRequest, ChangesResponse
+from shallotspindle_gateway.messages import (
+    ChangesOffer,
+    ChangesRequest,
+    ChangesResponse,
+    PartRequest,
+)
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import (
     EMPTY_CONFIGURATION,
@@ -129,7 +134,9 @@
         # Instances whose membership ended, with the boot-time of that in seconds.
         self._former_members: dict[Member, float] = {}
         self.partitions: dict[str, PartitionHolder | UnreadableHolder] = {}
+        self._transfers = transfers.OutgoingTransfers()
         peers.register(ChangesRequest, self._handle_request)
+        peers.register(PartRequest, self._transfers.handle_part_request)
 
     @property
     def revision(self) -> int:
@@ -392,18 +399,29 @@
         """
         for address in addresses:
             sent_at = self._clock.boottime()
-            request = ChangesRequest(self._log.revision)
-            response = await self._peers.request(
-                address, request, RESPONSE_TIMEOUT_SECONDS
-            )
-            if not isinstance(response, ChangesResponse) or not self._apply_response(
-                response, sent_at, address
-            ):
+            response = await self._request_changes(address)
+            if response is None or not self._apply_response(response, sent_at, address):
                 continue
             if response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS:
                 return True
         return False
 
+    async def _request_changes(self, address: str) -> ChangesResponse | None:
+        """Request changes from a peer, in parts if they do not fit into a datagram."""
+        request = ChangesRequest(self._log.revision)
+        response = await self._peers.request(address, request, RESPONSE_TIMEOUT_SECONDS)
+        if isinstance(response, ChangesOffer):
+            return await self._fetch_offer(address, response)
+        return response if isinstance(response, ChangesResponse) else None
+
+    async def _fetch_offer(
+        self, address: str, offer: ChangesOffer
+    ) -> ChangesResponse | None:
+        fetched = await transfers.fetch_response(self._peers, address, offer)
+        if fetched.is_error():
+            logging.warning("could not fetch changes from a peer: %s", fetched.error)
+        return fetched.default_value(None)
+
     def _apply_response(
         self, response: ChangesResponse, sent_at: float, sender: str
     ) -> bool:
@@ -430,16 +448,21 @@
             )
         return True
 
-    def _handle_request(self, sender: str, request: ChangesRequest) -> ChangesResponse:
+    def _handle_request(
+        self, sender: str, request: ChangesRequest
+    ) -> ChangesResponse | ChangesOffer | None:
         now = self._clock.boottime()
         age = min(MAX_REPORTED_AGE_SECONDS, self.compute_confirmation_age(now))
         store_response_age = min(
             MAX_REPORTED_AGE_SECONDS, self.compute_response_age(now)
         )
         grace = self.upstreams.get_remaining_grace(now)
-        return self._log.build_response(
+        response = self._log.build_response(
             request.revision, ViewFreshness(age, store_response_age, grace)
         )
+        if self._peers.fits_datagram(response):
+            return response
+        return self._transfers.offer(request.revision, response)
 
     # Changes of the view.
 
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -4,12 +4,18 @@
 """
 
 from dataclasses import dataclass
-from typing import ClassVar
+from typing import Annotated, ClassVar
 
-from shallotspindle_core.bounds import Revision, Seconds
+from shallotspindle_core.bounds import Range, Revision, Seconds
 from shallotspindle_core.identifiers import TeamName
 from shallotspindle_lending import records as lending_records
 
+# Largest compressed size of changes that are sent in parts.
+MAX_TRANSFER_BYTES = 8 * 1024 * 1024
+ByteOffset = Annotated[int, Range(0, MAX_TRANSFER_BYTES)]
+# Key, value, revision and whether the key was removed.
+StoreEvent = tuple[str, bytes, Revision, bool]
+
 
 @dataclass(frozen=True, slots=True)
 class TokenRequest:
@@ -78,7 +84,6 @@
     :param store_response_age_seconds: time since a response of the store confirmed
         that there were no other changes.
     :param grace_seconds: time for which announcements that disappear are kept.
-    :param events: key, value, revision and whether the key was removed.
     :param is_history_missing: whether the responder does not know all changes since
         the requester's revision.
     :param is_complete: whether the response contains all changes that the responder
@@ -91,11 +96,49 @@
     age_seconds: Seconds
     store_response_age_seconds: Seconds
     grace_seconds: Seconds = 0.0
-    events: tuple[tuple[str, bytes, Revision, bool], ...] = ()
+    events: tuple[StoreEvent, ...] = ()
     is_history_missing: bool = False
     is_complete: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ChangesOffer:
+    """Offers changes that do not fit into one datagram; they are fetched in parts.
+
+    :param since: revision after which the changes begin.
+    :param summary: the response without its events.
+    :param size_bytes: size of the encoded events.
+    """
+
+    since: Revision
+    summary: ChangesResponse
+    size_bytes: ByteOffset
+
+
+@dataclass(frozen=True, slots=True)
+class PartRequest:
+    """Asks for a part of the changes that a peer has offered.
+
+    :param since: revision after which the offered changes begin.
+    :param revision: revision up to which they go.
+    :param offset: position of the part in the encoded events, in bytes.
+    """
+
+    since: Revision
+    revision: Revision
+    offset: ByteOffset
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A part of offered changes.
+
+    :param data: encoded events; empty if the responder no longer keeps them.
+    """
+
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class RenewalRequest:
     """Asks a peer to renew the lease of an instance that the store rejects.
@@ -130,5 +173,8 @@
     NotHolder,
     ChangesRequest,
     ChangesResponse,
+    ChangesOffer,
+    PartRequest,
+    Part,
     *lending_records.MESSAGE_TYPES,
 )
--- a/libraries/gateway/shallotspindle_gateway/peers.py
+++ b/libraries/gateway/shallotspindle_gateway/peers.py
@@ -23,13 +23,19 @@
 from shallotspindle_wire.envelopes import Ask, Reply, Tell
 
 RESEND_INTERVAL_SECONDS = 0.04
+OVERSIZED_LOG_INTERVAL_SECONDS = 10.0
 MessageHandler = Callable[[str, Any], Any]
 
-
 # Datagrams that take several packets are compressed: links of 5 Mbit/s carry the
 # changes of the configuration for a whole failure domain.
 MIN_COMPRESSED_BYTES = 1200
-MAX_DECOMPRESSED_BYTES = 256 * 1024
+MAX_DECOMPRESSED_BYTES = 2 * 1024 * 1024
+# The largest payload of a datagram over IPv4.
+MAX_DATAGRAM_BYTES = 65_507
+# Longer envelopes are cut by releases up to 9e35cfb.
+MAX_ENVELOPE_BYTES = 256 * 1024
+# Room for the fields of the envelope around a message.
+ENVELOPE_OVERHEAD_BYTES = 64
 # First byte of a zlib stream; no envelope begins with it.
 ZLIB_FIRST_BYTE = b"\x78"
 
@@ -42,13 +48,18 @@
 
 
 def decompress(data: bytes) -> bytes:
-    """Return the envelope of a datagram; a damaged one is returned unchanged."""
+    """Return the envelope of a datagram.
+
+    A damaged one, or one that is too long, is returned unchanged; no codec accepts it.
+    """
     if data[:1] != ZLIB_FIRST_BYTE:
         return data
+    decompressor = zlib.decompressobj()
     try:
-        return zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_BYTES)
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
     except zlib.error:
         return data
+    return decompressed if decompressor.eof else data
 
 
 class RequestTimedOut(Failure):
@@ -115,6 +126,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def fits_datagram(self, message: Any) -> bool:
+        """Return whether a message can be sent in one datagram."""
+        encoded = self._message_codec.encode(message)
+        if len(encoded) > MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES:
+            return False
+        return len(compress(encoded)) <= MAX_DATAGRAM_BYTES - ENVELOPE_OVERHEAD_BYTES
+
     def send(self, address: str, message: Any) -> None:
         """Send a message that may be lost; one to this instance is handled at once."""
         if address == self.address:
@@ -166,6 +184,15 @@
             logging.warning("dropped a message to a peer: %s", target)
             return
         data = compress(self._envelope_codec.encode(envelope))
+        if len(data) > MAX_DATAGRAM_BYTES:
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "a message of %d bytes for %s does not fit into a datagram",
+                OVERSIZED_LOG_INTERVAL_SECONDS,
+                len(data),
+                address,
+            )
+            return
         self._transport.sendto(data, (target.host, target.port))
 
     def _receive(self, data: bytes, sender_address: tuple[str, int]) -> None:
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -11,9 +11,12 @@
 )
 from shallotspindle_gateway import messages
 from shallotspindle_gateway.messages import (
+    ChangesOffer,
     ChangesRequest,
     ChangesResponse,
     NotHolder,
+    Part,
+    PartRequest,
     RenewalRequest,
     RenewalResponse,
     TokenDenial,
@@ -78,6 +81,12 @@
             True,
         ],
     ),
+    (
+        ChangesOffer(since=1, summary=ChangesResponse(2, 3.5, 4.5, 5.5), size_bytes=6),
+        [1, "changesoffer", 1, [2, 3.5, 4.5, 5.5, [], False, True], 6],
+    ),
+    (PartRequest(since=1, revision=2, offset=3), [1, "partrequest", 1, 2, 3]),
+    (Part(data=b"data-1"), [1, "part", b"data-1"]),
     (
         SlotRequest(
             number=1,
