Let an instance that the store rejects learn all values from a peer

Callers could be refused by a version that was long replaced: after all peers of an instance had restarted beside a change, they answered its requests with "history missing" as long as the store turned it away.

Cause: a peer's log begins at its own start, and an instance that is behind it had only the store left. The class: recovery that relies on one source, which is the one that fails.

Change: an instance that is told so, and whose calls to the store fail, asks the peer for all values (ViewRequest) and applies the differences, unless it knows later ones.

--- a/libraries/gateway/shallotspindle_gateway/changelog.py
+++ b/libraries/gateway/shallotspindle_gateway/changelog.py
@@ -98,6 +98,11 @@
             last_revision = changed_at
         return self._build(max(self.revision, revision), freshness, tuple(events))
 
+    def build_view(self, freshness: ViewFreshness) -> ChangesResponse:
+        """Return all known values, for a requester that is behind the log."""
+        events = tuple(map(_pack, self._known_values.values()))
+        return self._build(self.revision, freshness, events)
+
     def _group_by_revision(self, since: int) -> Iterator[tuple[int, list[StoreEvent]]]:
         """Yield the changes after a revision, in order and grouped by revision."""
         later = (entry for entry in self._entries if entry[0] > since)
--- a/libraries/gateway/shallotspindle_gateway/changelog_test.py
+++ b/libraries/gateway/shallotspindle_gateway/changelog_test.py
@@ -64,3 +64,15 @@
         # Guards against a late event that restores an old value.
         log = build_log()
         assert log.add(Changes((build_value("b", 1, b"old"),), 6)) == []
+
+    def test_all_values_bring_a_requester_to_the_state_of_the_log(self):
+        # Guards against values that stay in use at an instance that missed their
+        # removal.
+        log = build_log()
+        log.add(Changes(("a", build_value("c", 9)), 9))
+        requester = build_log()
+        view = log.build_view(FRESHNESS)
+        values = tuple(StoredValue(*event[:3]) for event in view.events)
+        changes = requester.diff_snapshot(Snapshot(values, view.revision))
+        assert set(requester.add(changes)) == {"a", build_value("c", 9)}
+        assert requester.revision == log.revision
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Set
+from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -31,6 +32,7 @@
     ChangesRequest,
     ChangesResponse,
     PartRequest,
+    ViewRequest,
 )
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import (
@@ -90,6 +92,41 @@
 Listener = Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedResponse:
+    """A response of a peer that contains its changes.
+
+    :param sender: address of the peer.
+    :param sent_at: when the request was sent, as boot-time in seconds.
+    :param is_view: whether the events are all values of the store.
+    """
+
+    response: ChangesResponse
+    sender: str
+    sent_at: float
+    is_view: bool = False
+
+    def read_changes(self) -> Changes:
+        """Return the changes in the form of the store."""
+        events = tuple(
+            key if is_removed else StoredValue(key, value, revision)
+            for key, value, revision, is_removed in self.response.events
+        )
+        return Changes(events, self.response.revision)
+
+    def read_snapshot(self) -> Snapshot:
+        """Return all values in the form of the store."""
+        values = tuple(
+            event for event in self.read_changes().events if not isinstance(event, str)
+        )
+        return Snapshot(values, self.response.revision)
+
+
+def is_fresh(response: ChangesResponse) -> bool:
+    """Return whether a peer learns of changes soon enough to rely on it alone."""
+    return response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS
+
+
 class StoreFollower(Service):
     """Owns the view of the store; others read it and are notified of changes.
 
@@ -136,6 +173,7 @@
         self.partitions: dict[str, PartitionHolder | UnreadableHolder] = {}
         self._transfers = transfers.OutgoingTransfers()
         peers.register(ChangesRequest, self._handle_request)
+        peers.register(ViewRequest, self._handle_view_request)
         peers.register(PartRequest, self._transfers.handle_part_request)
 
     @property
@@ -216,19 +254,26 @@
         match await self.store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
                 self._record_store_response(sent_at, sent_at)
-                self._apply_snapshot(snapshot, sent_at)
+                if self._apply_snapshot(snapshot):
+                    self._full_read_at = sent_at
                 await asyncio.sleep(COALESCING_DELAY_SECONDS)
                 return True
             case Result(tag="error", error=failure):
                 await self._record_store_failure(failure)
         return False
 
-    def _apply_snapshot(self, snapshot: Snapshot, sent_at: float) -> None:
-        """Apply all values, unless a peer has sent later ones meanwhile."""
-        if snapshot.revision >= self._log.revision:
-            self._full_read_at = sent_at
-            values = tuple(map(self._limit_size, snapshot.values))
-            self._apply(self._log.diff_snapshot(Snapshot(values, snapshot.revision)))
+    def _apply_snapshot(self, snapshot: Snapshot, source: str = STORE_SOURCE) -> bool:
+        """Apply all values, unless later ones have arrived meanwhile.
+
+        :param source: address of the peer that sent them, for log lines.
+        :returns: whether they were applied.
+        """
+        if snapshot.revision < self._log.revision:
+            return False
+        values = tuple(map(self._limit_size, snapshot.values))
+        changes = self._log.diff_snapshot(Snapshot(values, snapshot.revision))
+        self._apply(changes, source)
+        return True
 
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it responded."""
@@ -398,39 +443,47 @@
         the view of this instance.
         """
         for address in addresses:
-            sent_at = self._clock.boottime()
-            response = await self._request_changes(address)
-            if response is None or not self._apply_response(response, sent_at, address):
+            received = await self._fetch_changes(address)
+            if received is None:
                 continue
-            if response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS:
+            self._apply_response(received)
+            if is_fresh(received.response):
                 return True
         return False
 
-    async def _request_changes(self, address: str) -> ChangesResponse | None:
-        """Request changes from a peer, in parts if they do not fit into a datagram."""
-        request = ChangesRequest(self._log.revision)
+    async def _fetch_changes(self, address: str) -> ReceivedResponse | None:
+        """Fetch the changes that a peer knows, or all values if it lacks some.
+
+        A peer lacks changes that it missed before its start. Reading the store then
+        costs less than all values of a peer, unless the store does not respond.
+        """
+        revision = self._log.revision
+        received = await self._ask_peer(address, ChangesRequest(revision))
+        if received is None or not received.response.is_history_missing:
+            return received
+        if not self._is_store_unresponsive():
+            return None
+        return await self._ask_peer(address, ViewRequest(revision))
+
+    async def _ask_peer(
+        self, address: str, request: ChangesRequest | ViewRequest
+    ) -> ReceivedResponse | None:
+        """Send a request and fetch what the peer offers in place of a response."""
+        sent_at = self._clock.boottime()
         response = await self._peers.request(address, request, RESPONSE_TIMEOUT_SECONDS)
-        if isinstance(response, ChangesOffer):
-            return await self._fetch_offer(address, response)
-        return response if isinstance(response, ChangesResponse) else None
-
-    async def _fetch_offer(
-        self, address: str, offer: ChangesOffer
-    ) -> ChangesResponse | None:
-        fetched = await transfers.fetch_response(self._peers, address, offer)
+        if isinstance(response, ChangesResponse):
+            return ReceivedResponse(response, address, sent_at)
+        if not isinstance(response, ChangesOffer):
+            return None
+        fetched = await transfers.fetch_response(self._peers, address, response)
         if fetched.is_error():
             logging.warning("could not fetch changes from a peer: %s", fetched.error)
-        return fetched.default_value(None)
+            return None
+        is_view = response.since == 0
+        return ReceivedResponse(fetched.ok, address, sent_at, is_view)
 
-    def _apply_response(
-        self, response: ChangesResponse, sent_at: float, sender: str
-    ) -> bool:
-        if response.is_history_missing:
-            return False
-        events = tuple(
-            key if is_removed else StoredValue(key, value, revision)
-            for key, value, revision, is_removed in response.events
-        )
+    def _apply_response(self, received: ReceivedResponse) -> None:
+        response, sent_at = received.response, received.sent_at
         now = self._clock.boottime()
         if (
             response.grace_seconds > 0
@@ -438,7 +491,10 @@
         ):
             self.upstreams.extend_grace_period(response.grace_seconds, now)
             self._schedule_expiry(response.grace_seconds)
-        self._apply_unless_outdated(Changes(events, response.revision), sender)
+        if received.is_view:
+            self._apply_snapshot(received.read_snapshot(), received.sender)
+        else:
+            self._apply_unless_outdated(received.read_changes(), received.sender)
         if response.is_complete:
             # Counted from the sending of the request, so that a delay on the network
             # makes the confirmation older, never younger.
@@ -446,24 +502,30 @@
                 sent_at - response.age_seconds,
                 sent_at - response.store_response_age_seconds,
             )
-        return True
 
     def _handle_request(
         self, sender: str, request: ChangesRequest
     ) -> ChangesResponse | ChangesOffer | None:
-        now = self._clock.boottime()
-        age = min(MAX_REPORTED_AGE_SECONDS, self.compute_confirmation_age(now))
-        store_response_age = min(
-            MAX_REPORTED_AGE_SECONDS, self.compute_response_age(now)
-        )
-        grace = self.upstreams.get_remaining_grace(now)
-        response = self._log.build_response(
-            request.revision, ViewFreshness(age, store_response_age, grace)
-        )
+        response = self._log.build_response(request.revision, self._read_freshness())
         if self._peers.fits_datagram(response):
             return response
         return self._transfers.offer(request.revision, response)
 
+    def _handle_view_request(
+        self, sender: str, request: ViewRequest
+    ) -> ChangesOffer | None:
+        if self._log.revision < request.revision:
+            return None
+        return self._transfers.offer(0, self._log.build_view(self._read_freshness()))
+
+    def _read_freshness(self) -> ViewFreshness:
+        now = self._clock.boottime()
+        return ViewFreshness(
+            min(MAX_REPORTED_AGE_SECONDS, self.compute_confirmation_age(now)),
+            min(MAX_REPORTED_AGE_SECONDS, self.compute_response_age(now)),
+            self.upstreams.get_remaining_grace(now),
+        )
+
     # Changes of the view.
 
     def _apply(self, changes: Changes, source: str = STORE_SOURCE) -> None:
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -13,7 +13,7 @@
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import following
 from shallotspindle_gateway.conftest import SERVICE, DocumentDecoder
-from shallotspindle_gateway.following import StoreFollower
+from shallotspindle_gateway.following import ReceivedResponse, StoreFollower
 from shallotspindle_gateway.messages import ChangesRequest, ChangesResponse
 from shallotspindle_gateway.peers import RequestTimedOut
 from shallotspindle_gateway.records import Member
@@ -95,6 +95,11 @@
     return responder
 
 
+def receive(response: ChangesResponse) -> ReceivedResponse:
+    """Return a response as received from a peer just now."""
+    return ReceivedResponse(response, "10.0.0.2:1", SystemClock().boottime())
+
+
 def report_no_changes(response_age: float, revision: int = 10) -> Responder:
     """Return a peer that reports no changes.
 
@@ -262,7 +267,7 @@
         follower = self.follow(put, UPSTREAM.key, revision=12)
         event = (put.key, put.value, 11, False)
         response = ChangesResponse(11, 0.1, 0.1, events=(event,))
-        follower._apply_response(response, SystemClock().boottime(), "10.0.0.2:1")
+        follower._apply_response(receive(response))
         assert not has_upstream(follower)
 
     def test_an_outdated_peer_removes_no_upstream(self):
@@ -270,7 +275,7 @@
         put = StoredValue(UPSTREAM.key, UPSTREAM.value, 12)
         follower = self.follow(UPSTREAM.key, put, revision=12)
         response = ChangesResponse(11, 0.1, 0.1, events=((put.key, b"", 0, True),))
-        follower._apply_response(response, SystemClock().boottime(), "10.0.0.2:1")
+        follower._apply_response(receive(response))
         assert has_upstream(follower)
 
 
@@ -355,7 +360,7 @@
         async with following_store(store, ScriptedPeers()) as follower:
             added = StoredValue("upstreams/u1", UPSTREAM.value, 20)
             follower._apply(Changes((added,), 20))
-            follower._apply_snapshot(Snapshot(store.values, 10), 0.0)
+            follower._apply_snapshot(Snapshot(store.values, 10))
             follower._apply_unless_outdated(Changes(("upstreams/u1",), 15))
             assert len(follower.upstreams.list_usable(SERVICE)) == 2
 
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -101,11 +101,21 @@
     is_complete: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ViewRequest:
+    """Asks a peer for all values of the store, in place of the changes.
+
+    :param revision: revision up to which the requester knows the changes.
+    """
+
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class ChangesOffer:
     """Offers changes that do not fit into one datagram; they are fetched in parts.
 
-    :param since: revision after which the changes begin.
+    :param since: revision after which the changes begin; 0 if they are all values.
     :param summary: the response without its events.
     :param size_bytes: size of the encoded events.
     """
@@ -173,6 +183,7 @@
     NotHolder,
     ChangesRequest,
     ChangesResponse,
+    ViewRequest,
     ChangesOffer,
     PartRequest,
     Part,
--- a/libraries/gateway/shallotspindle_gateway/transfers.py
+++ b/libraries/gateway/shallotspindle_gateway/transfers.py
@@ -75,7 +75,7 @@
     def offer(self, since: int, response: ChangesResponse) -> ChangesOffer | None:
         """Keep the events of a response and return the offer that replaces it.
 
-        :param since: revision after which the events begin.
+        :param since: revision after which the events begin; 0 for all values.
         :returns: None if the events are too large for any transfer.
         """
         data = self._keep((since, response.revision), response.events)
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -22,6 +22,7 @@
     TokenDenial,
     TokenGrant,
     TokenRequest,
+    ViewRequest,
 )
 from shallotspindle_lending.records import (
     Outcome,
@@ -85,6 +86,7 @@
         ChangesOffer(since=1, summary=ChangesResponse(2, 3.5, 4.5, 5.5), size_bytes=6),
         [1, "changesoffer", 1, [2, 3.5, 4.5, 5.5, [], False, True], 6],
     ),
+    (ViewRequest(revision=1), [1, "viewrequest", 1]),
     (PartRequest(since=1, revision=2, offset=3), [1, "partrequest", 1, 2, 3]),
     (Part(data=b"data-1"), [1, "part", b"data-1"]),
     (
