Pass over a watcher that knows that the store rejects it

Callers could be refused by an older version longer than need be: the instances of a domain trusted their watcher for 1.2 s after the store's last response to it.

Cause: a watcher told only how old that response was, also while it knew that the store turned it away and that it would learn of nothing.

Change: ChangesResponse has a last field is_store_failing, set while calls to the store fail and no peer has passed on a later response. The instances then ask the watchers of other domains at once, and the store if none learns of changes.

--- a/libraries/gateway/shallotspindle_gateway/changelog.py
+++ b/libraries/gateway/shallotspindle_gateway/changelog.py
@@ -26,11 +26,14 @@
         the call to the store.
     :param store_response_age_seconds: time since the last response of the store.
     :param grace_seconds: time for which announcements that disappear are kept.
+    :param is_store_failing: whether the store fails for this instance, and no peer has
+        passed on a later response.
     """
 
     age_seconds: float
     store_response_age_seconds: float
     grace_seconds: float = 0.0
+    is_store_failing: bool = False
 
 
 class ChangeLog:
@@ -126,6 +129,7 @@
             events,
             is_history_missing,
             is_complete,
+            freshness.is_store_failing,
         )
 
 
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -124,7 +124,10 @@
 
 def is_fresh(response: ChangesResponse) -> bool:
     """Return whether a peer learns of changes soon enough to rely on it alone."""
-    return response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS
+    return (
+        not response.is_store_failing
+        and response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS
+    )
 
 
 class StoreFollower(Service):
@@ -524,6 +527,8 @@
             min(MAX_REPORTED_AGE_SECONDS, self.compute_confirmation_age(now)),
             min(MAX_REPORTED_AGE_SECONDS, self.compute_response_age(now)),
             self.upstreams.get_remaining_grace(now),
+            is_store_failing=self._failing_since is not None
+            and self._complete_until < self._failing_since,
         )
 
     # Changes of the view.
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -312,6 +312,32 @@
                 lambda: not has_upstream(follower), MAX_CHANGE_DELAY_SECONDS
             )
 
+    async def test_a_watcher_that_the_store_rejects_is_not_waited_for(self):
+        # Guards against a change that waits until the last response of a watcher is
+        # old, although the watcher knows that it learns of nothing.
+        members = (build_member(2), build_member(4, "b"))
+        store = ScriptedStore((UPSTREAM, *members))
+        failing = ChangesResponse(10, 0.1, 0.0, is_store_failing=True)
+        peers = ScriptedPeers({"10.0.0.2:1": lambda _: failing})
+        async with following_store(store, peers) as follower:
+            follower.rank_watchers = lambda domain=None: [
+                "10.0.0.4:1" if domain == "b" else "10.0.0.2:1"
+            ]
+            calls = store.calls
+            peers.responders["10.0.0.4:1"] = report_removals(UPSTREAM.key)
+            await await_true(lambda: not has_upstream(follower), 1.0)
+            assert store.calls == calls
+
+    async def test_a_rejected_instance_says_so_until_a_peer_has_a_later_response(self):
+        # Guards against peers that leave a watcher which learns of changes from others.
+        store = ScriptedStore((UPSTREAM, build_member(2, "b")))
+        async with following_store(store, ScriptedPeers()) as follower:
+            store.mode = "refuse"
+            await await_true(lambda: follower._failing_since is not None, 2.0)
+            assert follower._read_freshness().is_store_failing
+            follower._apply_response(receive(ChangesResponse(10, 0.0, 0.0)))
+            assert not follower._read_freshness().is_store_failing
+
     async def test_peers_are_asked_until_one_is_fresh(self):
         # Guards against a stale response that ends the search. Peers of its own domain
         # knew only what this instance knew, and the one that reached the store was not
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -88,6 +88,8 @@
         the requester's revision.
     :param is_complete: whether the response contains all changes that the responder
         knows.
+    :param is_store_failing: whether calls of the responder to the store fail and no
+        peer has passed on a later response.
     """
 
     KIND: ClassVar[str] = "changestold"
@@ -99,6 +101,7 @@
     events: tuple[StoreEvent, ...] = ()
     is_history_missing: bool = False
     is_complete: bool = True
+    is_store_failing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -69,6 +69,7 @@
             ),
             is_history_missing=True,
             is_complete=True,
+            is_store_failing=True,
         ),
         [
             1,
@@ -80,11 +81,12 @@
             [["text-5", b"data-6", 7, True]],
             True,
             True,
+            True,
         ],
     ),
     (
         ChangesOffer(since=1, summary=ChangesResponse(2, 3.5, 4.5, 5.5), size_bytes=6),
-        [1, "changesoffer", 1, [2, 3.5, 4.5, 5.5, [], False, True], 6],
+        [1, "changesoffer", 1, [2, 3.5, 4.5, 5.5, [], False, True, False], 6],
     ),
     (ViewRequest(revision=1), [1, "viewrequest", 1]),
     (PartRequest(since=1, revision=2, offset=3), [1, "partrequest", 1, 2, 3]),
