Fetch all changes that a peer knows in one poll

Callers could be refused by an older version for seconds: what did not fit into one response waited 0.25 s for each further one.

Cause: an incomplete response ended the poll like a complete one.

Change: a peer is asked again at once while its responses are incomplete and bring the instance further.

Result: test_a_long_list_of_changes_arrives_at_once (50 responses, bound 1 s) fails on the code before and passes.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -75,6 +75,8 @@
 # response.
 MAX_STORE_RESPONSE_AGE_SECONDS = 1.2
 MAX_PEERS_ASKED = 3
+# A peer that knows more changes than fit into a response is asked again at once.
+MAX_RESPONSES_PER_POLL = 100
 # Instances whose membership ended are still asked for this time. In an outage all
 # leases expire, also those of instances that keep serving and reach the store again.
 FORMER_MEMBER_TTL_SECONDS = 30.0
@@ -446,13 +448,24 @@
         the view of this instance.
         """
         for address in addresses:
+            response = await self._follow_peer(address)
+            if response is not None and is_fresh(response):
+                return True
+        return False
+
+    async def _follow_peer(self, address: str) -> ChangesResponse | None:
+        """Apply all changes that a peer knows; return its last response."""
+        response = None
+        for _ in range(MAX_RESPONSES_PER_POLL):
+            known_revision = self._log.revision
             received = await self._fetch_changes(address)
             if received is None:
-                continue
+                break
             self._apply_response(received)
-            if is_fresh(received.response):
-                return True
-        return False
+            response = received.response
+            if response.is_complete or self._log.revision == known_revision:
+                break
+        return response
 
     async def _fetch_changes(self, address: str) -> ReceivedResponse | None:
         """Fetch the changes that a peer knows, or all values if it lacks some.
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -338,6 +338,23 @@
             follower._apply_response(receive(ChangesResponse(10, 0.0, 0.0)))
             assert not follower._read_freshness().is_store_failing
 
+    async def test_a_long_list_of_changes_arrives_at_once(self):
+        # Guards against a configuration behind changes that take a poll for each part.
+        store = ScriptedStore((UPSTREAM, build_member(2)))
+
+        def report_one_change(request: ChangesRequest) -> ChangesResponse:
+            revision = min(request.revision + 1, 50)
+            events = ((UPSTREAM.key, b"", 0, True),) if revision == 50 else ()
+            is_complete = revision == 50
+            return ChangesResponse(
+                revision, 0.1, 0.0, events=events, is_complete=is_complete
+            )
+
+        peers = ScriptedPeers({"10.0.0.2:1": report_one_change})
+        async with following_store(store, peers) as follower:
+            follower.rank_watchers = lambda *_: ["10.0.0.2:1"]
+            await await_true(lambda: not has_upstream(follower), 1.0)
+
     async def test_peers_are_asked_until_one_is_fresh(self):
         # Guards against a stale response that ends the search. Peers of its own domain
         # knew only what this instance knew, and the one that reached the store was not
