Show operators which instances rejected the newest configuration

Cause: an instance that finds the newest configuration invalid goes on with an older one. status reported it as lagging at most, and of the entry daemon no metric told it.

Change: /state and status tell rejected at both daemons; the gateway serves /state on the port of its metrics, so that status works for it too; the entry daemon has the gauge shallotspindle_bundle_rejected.

--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -27,7 +27,7 @@
 from shallotspindle_entry.interfaces import PeerMessaging
 from shallotspindle_entry.tasks import InboxTask
 from shallotspindle_environment.clock import SystemClock
-from shallotspindle_environment.interface import Store
+from shallotspindle_environment.interface import Store, StoreFailure
 from shallotspindle_keys import directory
 from shallotspindle_settings import chunks
 
@@ -93,6 +93,8 @@
         self._withdrawals: WithdrawalsByDigest = {}
         self._deltas_by_version: dict[int, bytes] = {}
         self._rejected_manifest = b""
+        # Whether the accepted bundle is invalid here, so that an older one is active.
+        self.is_bundle_rejected = False
         self._background_tasks: list[asyncio.Task] = []
         own_instance = own_instance or Instance(
             Incarnation("single"), "", FailureDomain("single")
@@ -192,12 +194,13 @@
         loaded = await bundle_loading.load(
             source, self._loaded_bundle, data, self._signers, pushed_delta
         )
+        from_store = source is self._store_follower.source
         match loaded:
             case Result(tag="error", error=failures):
-                self._record_failures(data, failures)
+                self._record_failures(data, failures, from_store)
                 return False
             case Result(tag="ok", ok=LoadedBundle() as loaded_bundle):
-                from_store = source is self._store_follower.source
+                self.is_bundle_rejected = False
                 await self.ask(BundleLoaded(loaded_bundle, from_store))
         return True
 
@@ -205,7 +208,11 @@
         """Confirm that no bundle newer than the loaded one was accepted."""
         await self.ask(BundleConfirmed())
 
-    def _record_failures(self, data: bytes, failures: tuple[Failure, ...]) -> None:
+    def _record_failures(
+        self, data: bytes, failures: tuple[Failure, ...], from_store: bool
+    ) -> None:
+        if from_store and not any(isinstance(f, StoreFailure) for f in failures):
+            self.is_bundle_rejected = True
         for failure in failures:
             logging.warning("loading the bundle failed: %s", failure)
         if any(isinstance(f, bundle_loading.BundleFailure) for f in failures):
--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -178,8 +178,10 @@
         await run_pending_callbacks()
         assert task.current.bundle.version == 1
         assert task.current.bundle.services
+        assert task.is_bundle_rejected
         publish(store, build_next_bundle(replace(BUNDLE, version=2), 7.0))
         await wait_for(lambda: task.version == 3)
+        assert not task.is_bundle_rejected
 
     async def test_version_never_decreases(self, fleet):
         # Guards against reverting to an older bundle.
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -130,6 +130,7 @@
     def _render_metrics(self) -> tuple[bytes, dict[str, str]]:
         version = self._configuration.current.bundle.version
         self._metrics.set_state(version, self._lifecycle.running_requests)
+        self._metrics.set_rejected(self._configuration.is_bundle_rejected)
         traffic = self._coordination.peers.traffic
         self._metrics.set_peer_traffic(traffic.sent_bytes, traffic.received_bytes)
         errors = (task.errors for task in self._coordination.list_tasks())
@@ -169,6 +170,7 @@
             "address": own_instance.address,
             "failure_domain": own_instance.domain,
             "bundle": self._configuration.current.bundle.version,
+            "rejected": self._configuration.is_bundle_rejected,
             "ready": status == READY_STATUS,
             "stage": self._lifecycle.stage.value,
             "running": self._lifecycle.running_requests,
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -137,7 +137,7 @@
             settings.readiness_path,
             (readiness, metrics),
             self.is_ready,
-            reporter.render,
+            reporter,
         )
         self.services = [
             self.peers,
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -159,11 +159,11 @@
 
 
 class ProbeServer(Service):
-    """Serves readiness checks and the metrics.
+    """Serves readiness checks, the metrics and the state for operators.
 
     :param path: path of the readiness check.
     :param is_ready: returns whether the load balancer should send connections.
-    :param render: returns the metrics as text, with the HTTP headers.
+    :param reporter: renders the metrics and the state.
     """
 
     def __init__(
@@ -171,14 +171,14 @@
         path: str,
         listeners: tuple[socket.socket, ...],
         is_ready: Callable[[], bool],
-        render: Callable[[], tuple[bytes, dict[str, str]]],
+        reporter: Reporter,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._path = path
         self._listeners = listeners
         self._is_ready = is_ready
-        self._render = render
+        self._reporter = reporter
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -195,8 +195,11 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
-            body, metric_headers = self._render()
+            body, metric_headers = self._reporter.render()
             return web.Response(body=body, headers=metric_headers)
+        if request.path == "/state":
+            state = self._reporter.describe_state()
+            return web.json_response({**state, "ready": self._is_ready()})
         if request.path != self._path:
             return web.Response(status=404)
         return web.Response(status=200 if self._is_ready() else 503)
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -7,6 +7,7 @@
 import json
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -139,6 +140,14 @@
             self._error_counter.set({"kind": kind}, count)
         return render(self._registry, ["text/plain"])
 
+    def describe_state(self) -> dict[str, Any]:
+        """Return the state of the instance, as the operators' command reads it."""
+        return {
+            "instance": self._instance_name,
+            "bundle": self.follower.configuration.bundle.version,
+            "rejected": self.follower.is_configuration_rejected,
+        }
+
     def _read_state(self) -> dict[str, float]:
         """Return the values of the state gauge by name."""
         now = self._clock.boottime()
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -68,6 +68,10 @@
             "sends": [["u1", "truncated", 0.0476, "no-room"]],
         }
 
+    def test_the_state_is_readable_for_the_operators_command(self):
+        state = create_reporter([]).describe_state()
+        assert state == {"instance": "g", "bundle": 4, "rejected": True}
+
     def test_metrics_have_their_documented_names_and_labels(self):
         text = create_reporter([]).render()[0].decode()
         lines = text.splitlines()
--- a/libraries/operations/shallotspindle_operations/fleet_commands.py
+++ b/libraries/operations/shallotspindle_operations/fleet_commands.py
@@ -56,10 +56,15 @@
     for address, state in states:
         lag = newest - state.bundle
         status = "in force" if lag == 0 else f"{lag} behind"
+        if state.rejected:
+            status += ", newest rejected"
         lines.append(f"{state.instance} ({address}): bundle {state.bundle}, {status}")
         identity = {"instance": state.instance, "address": address}
-        data.append({**identity, "bundle": state.bundle, "lag": lag})
-    is_consistent = not failures and all(version == newest for version in versions)
+        bundle = {"bundle": state.bundle, "lag": lag, "rejected": state.rejected}
+        data.append({**identity, **bundle})
+    is_consistent = not failures and all(
+        state.bundle == newest and not state.rejected for _, state in states
+    )
     content = {"newest": newest, "instances": data, "failures": failures}
     return Outcome(
         ExitCode.DONE if is_consistent else ExitCode.FAILED, tuple(lines), content
@@ -74,11 +79,13 @@
 ) -> int:
     """Print the active bundle of each instance and which instances lag.
 
-    Exit code 1 means that an instance lags or does not respond.
+    Exit code 1 means that an instance lags, rejected the newest bundle or does not
+    respond.
 
     Example: shallotspindle status --instance 10.0.0.1:9000 --instance 10.0.0.2:9000
 
-    :param instance: Administration address of an instance; may be repeated.
+    :param instance: Administration address of an instance, or the address of the
+        metrics of a gateway; may be repeated.
     :param store: Address of the store whose accepted bundle is compared.
     :param json: Print the result as JSON.
     """
--- a/libraries/operations/shallotspindle_operations/fleet_commands_test.py
+++ b/libraries/operations/shallotspindle_operations/fleet_commands_test.py
@@ -19,6 +19,10 @@
         assert "two (10.0.0.2:1): bundle 5, 2 behind" in outcome.lines
         assert any("10.0.0.3:1" in line for line in outcome.lines)
         assert fleet_commands.build_state_report(responses[:1], 7).exit_code == 0
+        rejected = {"instance": "one", "bundle": 7, "rejected": True}
+        outcome = fleet_commands.build_state_report([("a:1", Ok(rejected))], None)
+        assert outcome.exit_code == 1
+        assert outcome.lines == ("one (a:1): bundle 7, in force, newest rejected",)
         assert fleet_commands.build_state_report(responses[:1], 8).exit_code == 1
 
 
--- a/libraries/operations/shallotspindle_operations/instances.py
+++ b/libraries/operations/shallotspindle_operations/instances.py
@@ -23,11 +23,15 @@
 
 
 class StateResponse(BaseModel):
-    """Response of ``GET /state``; later versions may add fields."""
+    """Response of ``GET /state``; later versions may add fields.
+
+    :param rejected: whether the newest bundle is invalid at this instance.
+    """
 
     instance: str
     bundle: int
     ready: bool | None = None
+    rejected: bool = False
 
 
 class UpstreamState(BaseModel):
--- a/libraries/telemetry/shallotspindle_telemetry/metrics.py
+++ b/libraries/telemetry/shallotspindle_telemetry/metrics.py
@@ -24,6 +24,11 @@
             "Version of the bundle in force.",
             registry=self._registry,
         )
+        self._rejected = Gauge(
+            "shallotspindle_bundle_rejected",
+            "Whether the accepted bundle is invalid here; an older one is in force.",
+            registry=self._registry,
+        )
         self._running = Gauge(
             "shallotspindle_running_requests",
             "Requests in work.",
@@ -53,6 +58,10 @@
         self._version.set({}, version)
         self._running.set({}, running)
 
+    def set_rejected(self, is_rejected: bool) -> None:
+        """Set the gauge that tells whether the accepted bundle was rejected."""
+        self._rejected.set({}, int(is_rejected))
+
     def set_peer_traffic(self, sent_bytes: int, received_bytes: int) -> None:
         """Set the numbers of bytes exchanged with peers since the start."""
         self._peer_bytes.set({"direction": "sent"}, sent_bytes)
