Leave out deltas that no frame between entry daemons carries

Cause: the class of the incident, looked for in the entry daemon: a response with more than 2 MB of deltas, and a notice with such a delta, is dropped by its sender without an error. The requester falls back to the changed chunks only after its timeout of 2 s, the receivers of the notice at their next comparison.

Change: deltas of more than 1 MB together are left out; the requester then reads the chunks at once.

Result: TestLargeDeltas fails on the code before and passes. Not played with real bundles of that size.

--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -31,6 +31,8 @@
 from shallotspindle_keys import directory
 from shallotspindle_settings import chunks
 
+# What is larger does not fit into a frame; its receiver reads the changed chunks.
+MAX_DELTA_BYTES = 1_000_000
 EMPTY_CONFIGURATION = bundle_loading.EMPTY_CONFIGURATION
 ConfigurationListener = Callable[[Configuration, Configuration], None]
 
@@ -290,6 +292,8 @@
     def _push_manifest(self) -> None:
         if self._peers is not None:
             delta = self._deltas_by_version.get(self.version, b"")
+            if len(delta) > MAX_DELTA_BYTES:
+                delta = b""
             self._peers.gossip(
                 messages.ManifestNotice(self._loaded_bundle.manifest, delta)
             )
@@ -321,9 +325,10 @@
         self, sender: Instance, message: messages.DeltasRequest
     ) -> messages.DeltasResponse:
         versions = sorted(v for v in self._deltas_by_version if v > message.version)
-        return messages.DeltasResponse(
-            tuple(self._deltas_by_version[v] for v in versions)
-        )
+        found = tuple(self._deltas_by_version[v] for v in versions)
+        if sum(map(len, found)) > MAX_DELTA_BYTES:
+            found = ()
+        return messages.DeltasResponse(found)
 
     async def _handle_chunk_request(
         self, sender: Instance, message: messages.ChunkRequest
--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -374,3 +374,16 @@
             payload=content,
         )
         return await withdrawal_endpoint.handle_withdrawal(task, request)
+
+
+class TestLargeDeltas:
+    async def test_deltas_that_no_frame_carries_are_left_out(self):
+        # Guards against a peer that waits for a response that is never sent.
+        task = ConfigurationTask(MemoryStore(), {})
+        task._deltas_by_version = {2: bytes(600_000), 3: bytes(600_000)}
+        request = messages.DeltasRequest(2)
+        response = await task._handle_deltas_request(None, request)
+        assert response.deltas == (bytes(600_000),)
+        request = messages.DeltasRequest(1)
+        response = await task._handle_deltas_request(None, request)
+        assert response.deltas == ()
