Decide what follows from what upstreams say in their responses

Cause: an upstream says in its responses that it leaves, and with a refusal that it wants a pause; neither daemon reads either header of the other's kind.

Change: a library of decisions without network or codec, for both daemons.

It is not used yet.

--- /dev/null
+++ b/libraries/notices/shallotspindle_notices/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what follows from what upstreams say of themselves in their responses."""
