Heed what upstreams say of themselves at the gateway

Change: the forwarder reads both when the head of a response has arrived, and the slot requester asks for no slot of such an upstream, returns one that was granted meanwhile, and waits for the earliest end of a pause or refuses at once with that time. Request lines have passed_over, no_slot can be paused, and shallotspindle_notices_total counts the notices.

--- a/libraries/core/shallotspindle_core/bounds.py
+++ b/libraries/core/shallotspindle_core/bounds.py
@@ -55,5 +55,6 @@
 # A time from now; one in the past is negative.
 Seconds = Annotated[float, Range(-MAX_SECONDS, MAX_SECONDS)]
 Revision = Annotated[int, Range(0, MAX_REVISION)]
+UnixMilliseconds = Annotated[int, Range(0, MAX_COUNTER)]
 Address = Annotated[str, AddressFormat()]
 Priority = Annotated[int, Range(-MAX_PRIORITY, MAX_PRIORITY)]
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -190,7 +190,7 @@
         return Ok(Configuration(bundle, keys, build_route_table(routes), limits))
 
     def decode_announcement(self, key, data):
-        address, domain = json.loads(data)
+        address, domain, *started_at_ms = json.loads(data)
         return Ok(
             Announcement(
                 self.get_upstream_name(key),
@@ -199,6 +199,7 @@
                 FailureDomain(domain),
                 AnnouncedState.READY,
                 slots=2,
+                started_at_ms=sum(started_at_ms),
             )
         )
 
@@ -209,6 +210,7 @@
 
     :param executed: ids of the requests that it ran.
     :param requests: the requests that it ran.
+    :param extra_headers: added to all responses.
     :param release: lets the modes ``slow`` and ``shed late`` respond.
     """
 
@@ -219,6 +221,7 @@
     bodies: list[bytes] = field(default_factory=list)
     cancelled: int = 0
     finished: int = 0
+    extra_headers: dict[str, str] = field(default_factory=dict)
     release: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -227,11 +230,16 @@
         if self.mode == "shed late":
             await self.release.wait()
         if self.mode.startswith("shed"):
-            return web.Response(status=503, headers={NAMES.not_run: "1"})
+            fields = {NAMES.not_run: "1", **self.extra_headers}
+            return web.Response(status=503, headers=fields)
         self.executed.append(request_id)
         self.requests.append(request)
         self.bodies.append(body)
-        fields = {NAMES.request_id: request_id, NAMES.signature: "s"}
+        fields = {
+            NAMES.request_id: request_id,
+            NAMES.signature: "s",
+            **self.extra_headers,
+        }
         if self.mode == "hang":
             try:
                 await asyncio.sleep(30)
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -32,6 +32,7 @@
 from shallotspindle_gateway.slot_requester import SlotRequester
 from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_gateway.storage import Decoder, Store
+from shallotspindle_gateway.upstream_notices import NoticeBoard
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LISTEN_BACKLOG = 1024
@@ -107,16 +108,21 @@
             random_source,
             self.errors,
         )
+        self.notices = NoticeBoard(self.follower, self.peers, clock)
         slot_requester = SlotRequester(
-            own_instance, self.follower, self.peers, clock, random_source
+            own_instance,
+            self.follower,
+            self.peers,
+            clock,
+            random_source,
+            self.notices,
         )
-        names = settings.headers
         forwarder = Forwarder(
-            names.request_id,
-            names.not_run,
+            settings.headers,
             clock,
             settings.response_limits,
             self.errors,
+            self.notices.record,
         )
         self._admission = Admission(
             self.follower, self.ownership, self.peers, clock, settings.bounds
@@ -129,7 +135,9 @@
             clock,
             random_source,
         )
-        reporter = Reporter(settings.name, self.follower, clock, self.errors)
+        reporter = Reporter(
+            settings.name, self.follower, clock, self.errors, self.notices
+        )
         self._frontend = Frontend(
             settings, self._pipeline, self._lifecycle, reporter, clock, self._callers
         )
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -26,7 +26,11 @@
     ResponseAbortedError,
     find_fault,
 )
+from shallotspindle_gateway.records import HeaderNames
 from shallotspindle_lending.records import Outcome
+from shallotspindle_notices import notices
+from shallotspindle_notices.notices import NO_NOTICE, Notice
+from shallotspindle_registry.records import UNKNOWN_INCARNATION, Incarnation
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 CONNECT_TIMEOUT_SECONDS = 0.08
@@ -38,6 +42,7 @@
 SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 BAD_REQUEST = 400
+RETRY_AFTER = "Retry-After"
 NOT_RUN_STATUSES = frozenset(
     {BAD_REQUEST, TOO_MANY_REQUESTS, SERVER_ERROR, SERVICE_UNAVAILABLE}
 )
@@ -78,6 +83,7 @@
     :param target: path and query, already encoded.
     :param body: the whole body, or a stream of its chunks.
     :param timeout_seconds: maximum time until the response is complete.
+    :param incarnation: identifies the upstream in what its response says of it.
     """
 
     address: str
@@ -86,31 +92,36 @@
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes] | None
     timeout_seconds: float
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+
+
+NoticeListener = Callable[[Incarnation, Notice], None]
 
 
 class Forwarder(Service):
     """Owns the connections to upstreams.
 
-    :param request_id_header: header that matches a response with its request.
-    :param not_run_header: header by which an upstream states that it did not run a
-        request.
+    :param header_names: the headers that match a response with its request and by which
+        an upstream states that it did not run a request, or that it leaves.
+    :param record_notice: called with what a response says of its upstream, as soon as
+        its head has arrived.
     :param errors: counts unexpected errors. An attempt that ends with one must still
         have a result, since its slot is returned with it.
     """
 
     def __init__(
         self,
-        request_id_header: str,
-        not_run_header: str,
+        header_names: HeaderNames,
         clock: Clock,
         limits: ResponseLimits,
         errors: UnexpectedErrors,
+        record_notice: NoticeListener,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._errors = errors
-        self._request_id_header = request_id_header
-        self._not_run_header = not_run_header
+        self._header_names = header_names
+        self._record_notice = record_notice
         self._clock = clock
         self._limits = limits
         self.response_memory = ResponseMemory(limits.max_total_bytes)
@@ -200,6 +211,7 @@
                 total=request.timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
         ) as response:
+            self._report_notice(request, response)
             connection = response.connection
             protocol = connection.protocol if connection is not None else None
             body = await self._read_body(response)
@@ -211,6 +223,27 @@
                 return Outcome.TRUNCATED, None, False
             return self._classify_response(request, response, body)
 
+    def _report_notice(
+        self, request: UpstreamRequest, response: aiohttp.ClientResponse
+    ) -> None:
+        """Report what a response says of its upstream, before its body arrives."""
+        if self._names_another_request(request, response):
+            return
+        notice = notices.read_notice(
+            response.status,
+            response.headers.get(self._header_names.leaving, ""),
+            response.headers.get(RETRY_AFTER, ""),
+        )
+        if notice is not NO_NOTICE:
+            self._record_notice(request.incarnation, notice)
+
+    def _names_another_request(
+        self, request: UpstreamRequest, response: aiohttp.ClientResponse
+    ) -> bool:
+        received_id = response.headers.get(self._header_names.request_id)
+        sent_id = request.headers.get(self._header_names.request_id)
+        return received_id is not None and received_id != sent_id
+
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Read the complete body.
 
@@ -244,14 +277,13 @@
         self, request: UpstreamRequest, response: aiohttp.ClientResponse, body: bytes
     ) -> tuple[Outcome, UpstreamResponse | None, bool]:
         # First of all: a refusal of another request proves nothing about this one.
-        sent_id = request.headers.get(self._request_id_header)
-        received_id = response.headers.get(self._request_id_header)
-        if received_id is not None and received_id != sent_id:
+        if self._names_another_request(request, response):
             return Outcome.TRUNCATED, None, False
         status = response.status
         if status == MISDIRECTED_REQUEST:
             return Outcome.MISDIRECTED, None, True
-        if status in NOT_RUN_STATUSES and self._not_run_header in response.headers:
+        not_run_header = self._header_names.not_run
+        if status in NOT_RUN_STATUSES and not_run_header in response.headers:
             return Outcome.SHED, None, True
         upstream_response = UpstreamResponse(
             status, response.reason or "", response.headers.copy(), body
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -148,11 +148,13 @@
     servers.close()
 
 
+def build_forwarder(limits, errors, record_notice=lambda upstream, notice: None):
+    return Forwarder(NAMES, SystemClock(), limits, errors, record_notice)
+
+
 @pytest_asyncio.fixture
 async def forwarder() -> AsyncIterator[Forwarder]:
-    created = Forwarder(
-        NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS, UnexpectedErrors()
-    )
+    created = build_forwarder(LIMITS, UnexpectedErrors())
     await created.start()
     yield created
     await created.stop()
@@ -369,9 +371,7 @@
         # Guards against a slot that is never returned, and against a request that is
         # reported as not run although it was sent.
         errors = UnexpectedErrors()
-        forwarder = Forwarder(
-            NAMES.request_id, NAMES.not_run, SystemClock(), LIMITS, errors
-        )
+        forwarder = build_forwarder(LIMITS, errors)
         await forwarder.start()
         address = await upstreams.add(EndlessUpstream(COMPLETE_RESPONSE, b"x"))
         request = replace(build_request(address), headers={"a": "b\r\nc"})
@@ -388,9 +388,7 @@
         limits = ResponseLimits(
             max_body_bytes=64 * MEBIBYTE, max_total_bytes=2 * MEBIBYTE
         )
-        forwarder = Forwarder(
-            NAMES.request_id, NAMES.not_run, SystemClock(), limits, UnexpectedErrors()
-        )
+        forwarder = build_forwarder(limits, UnexpectedErrors())
         await forwarder.start()
         upstream = EndlessUpstream(OK + b"\r\n", b"x")
         address = await upstreams.add(upstream)
--- a/libraries/gateway/shallotspindle_gateway/pipeline.py
+++ b/libraries/gateway/shallotspindle_gateway/pipeline.py
@@ -13,7 +13,7 @@
 from shallotspindle_bundles.records import Route, Team, WeightedService
 from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
-from shallotspindle_core.identifiers import ServiceName, TeamName
+from shallotspindle_core.identifiers import ServiceName, TeamName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_entry import checks
 from shallotspindle_gateway import bodies, headers, problems
@@ -29,6 +29,7 @@
 from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_keys import directory
 from shallotspindle_lending.records import Outcome, RefusalReason
+from shallotspindle_notices.notices import Obstacle
 from shallotspindle_routing import routes
 
 # A withdrawn key must stop working within ``key_withdrawal_seconds``. This fraction of
@@ -90,6 +91,7 @@
     :param step: step at which the request ended.
     :param slot_refusal: reason why no slot was granted, if that ended the request.
     :param attempts: the ended attempts in the order of their end.
+    :param passed_over: upstreams that said that they leave or want a pause.
     """
 
     request_id: str
@@ -101,6 +103,7 @@
     slot_refusal: str = ""
     step: RequestStep = RequestStep.CHECKS
     attempts: list[AttemptRecord] = field(default_factory=list)
+    passed_over: dict[UpstreamName, Obstacle] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -313,7 +316,7 @@
     ) -> UpstreamResponse | Problem:
         trace = running_call.trace
         trace.step = RequestStep.SLOT
-        requirements = self._build_requirements(call, body)
+        requirements = self._build_requirements(call, body, trace)
         running_call.is_idempotent = requirements.is_idempotent
         max_attempts = call.route.attempts if body.is_replayable else 1
 
@@ -368,7 +371,9 @@
             return problems.DEADLINE_EXCEEDED
         return problems.STOPPING
 
-    def _build_requirements(self, call: Call, body: Body) -> SlotRequirements:
+    def _build_requirements(
+        self, call: Call, body: Body, trace: RequestTrace
+    ) -> SlotRequirements:
         request = call.request
         team = call.team.name if call.team else NO_TEAM
         fingerprint = hashing.hash_text(
@@ -386,6 +391,7 @@
             objective_deadline=call.objective_deadline,
             fingerprint=fingerprint,
             route_hash=hashing.hash_text("route", call.route.name),
+            passed_over=trace.passed_over,
         )
 
     def _build_upstream_request(
@@ -403,6 +409,7 @@
             upstream_headers,
             body.get_content(),
             remaining_seconds,
+            self._follower.upstreams.get_incarnation(slot.upstream),
         )
 
     @staticmethod
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -44,6 +44,7 @@
 
     :param signature: the upstream's signature of its response, passed on unchanged.
     :param not_run: tells that the upstream did not run the request.
+    :param leaving: tells that the upstream leaves.
     :param key_scheme: authentication scheme in ``Authorization`` for callers' keys.
     """
 
@@ -53,6 +54,7 @@
     team: str = "Team"
     target: str = "Target-Upstream"
     not_run: str = "Request-Not-Run"
+    leaving: str = "Upstream-Draining"
     key_scheme: str = "Bearer"
 
 
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -18,11 +18,14 @@
 from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.pipeline import RequestTrace
 from shallotspindle_gateway.problems import Problem
+from shallotspindle_gateway.upstream_notices import NoticeBoard
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
 # Stands for an infinite age in metrics and logs.
 MAX_AGE_SECONDS = 9999.0
+# More upstreams that were passed over make the line of a request too long.
+MAX_PASSED_OVER = 8
 LineWriter = Callable[[str], object]
 
 
@@ -40,6 +43,7 @@
     """Writes the log line of each request and updates the metrics.
 
     :param errors: the unexpected errors of the instance, for the metrics.
+    :param notices: what upstreams said of themselves, for the metrics.
     """
 
     def __init__(
@@ -48,10 +52,12 @@
         follower: StoreFollower,
         clock: Clock,
         errors: UnexpectedErrors,
+        notices: NoticeBoard,
         write: LineWriter | None = None,
     ) -> None:
         self._instance_name = instance_name
         self._errors = errors
+        self._notices = notices
         self.follower = follower
         self._clock = clock
         self._write = write or sys.stdout.write
@@ -78,6 +84,11 @@
             "Unexpected errors by what was being handled; each is a fault to report.",
             registry=self._registry,
         )
+        self._notice_counter = Counter(
+            "shallotspindle_notices_total",
+            "What upstreams said of themselves in responses, by kind.",
+            registry=self._registry,
+        )
         self._state_gauge = Gauge(
             "shallotspindle_state",
             "Version in force, age of its confirmation, whether a newer version was "
@@ -121,6 +132,7 @@
             "team": trace.team,
             "service": trace.service,
             "no_slot": trace.slot_refusal,
+            "passed_over": list(trace.passed_over.items())[:MAX_PASSED_OVER],
             "version": trace.config_version,
             "confirmed_before": round(
                 min(trace.config_age_seconds, MAX_AGE_SECONDS), 3
@@ -138,6 +150,8 @@
             self._state_gauge.set({"value": name}, value)
         for kind, count in self._errors.counts.items():
             self._error_counter.set({"kind": kind}, count)
+        for kind, count in self._notices.counts.items():
+            self._notice_counter.set({"kind": kind}, count)
         return render(self._registry, ["text/plain"])
 
     def describe_state(self) -> dict[str, Any]:
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -10,11 +10,13 @@
 from shallotspindle_gateway.pipeline import RequestStep, RequestTrace
 from shallotspindle_gateway.reporting import Reporter
 from shallotspindle_lending.records import Outcome, RefusalReason
+from shallotspindle_notices.notices import Obstacle
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 METRICS = {
     "# TYPE shallotspindle_answer_seconds histogram",
     "# TYPE shallotspindle_answers_total counter",
+    "# TYPE shallotspindle_notices_total counter",
     "# TYPE shallotspindle_sends_total counter",
     "# TYPE shallotspindle_state gauge",
     "# TYPE shallotspindle_unexpected_errors_total counter",
@@ -31,10 +33,16 @@
         revision=7,
     )
     reporter = Reporter(
-        "g", follower, SystemClock(), UnexpectedErrors(), written.append
+        "g",
+        follower,
+        SystemClock(),
+        UnexpectedErrors(),
+        SimpleNamespace(counts={"leaving": 3}),
+        written.append,
     )
     trace = RequestTrace("id-1", 4, 1.6641, "route-1", "team-1", "service-1", "busy")
     trace.step = RequestStep.SENT
+    trace.passed_over["u2"] = Obstacle.LEAVING
     trace.attempts.append(
         AttemptRecord("u1", Outcome.TRUNCATED, 0.04761, ResponseFault.MEMORY_EXHAUSTED)
     )
@@ -63,6 +71,7 @@
             "team": "team-1",
             "service": "service-1",
             "no_slot": "busy",
+            "passed_over": [["u2", "leaving"]],
             "version": 4,
             "confirmed_before": 1.664,
             "sends": [["u1", "truncated", 0.0476, "no-room"]],
@@ -82,6 +91,7 @@
         )
         sends = 'shallotspindle_sends_total{outcome="truncated",service="service-1"} 1'
         assert sends in lines
+        assert 'shallotspindle_notices_total{kind="leaving"} 3' in lines
         states = {
             "version": "4",
             "age": "1.5",
@@ -119,8 +129,12 @@
             "no-budget",
             "held",
             "silent",
+            "paused",
         ]
 
+    def test_obstacles_keep_their_values(self):
+        assert [item.value for item in Obstacle] == ["leaving", "paused"]
+
     def test_steps_and_faults_keep_their_values(self):
         assert [item.value for item in RequestStep] == [
             "checks",
--- a/libraries/gateway/shallotspindle_gateway/slot_lender.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_lender.py
@@ -21,12 +21,14 @@
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Bounds, Member
 from shallotspindle_lending.crashes import CrashTracker
+from shallotspindle_lending.leaving import LeavingReports
 from shallotspindle_lending.records import (
     Outcome,
     SlotQueued,
     SlotRequest,
     SlotReturned,
     UpstreamCrashed,
+    UpstreamLeaving,
 )
 from shallotspindle_lending.scheduler import AddressedDecision, SlotScheduler
 from shallotspindle_lending.upstreams import FAILURE_OUTCOMES
@@ -67,6 +69,7 @@
         self._random = random
         self._log_limiter = LogLimiter(clock)
         self._crashes = CrashTracker()
+        self._leaving_reports = LeavingReports()
         self._schedulers: dict[tuple[ServiceName, FailureDomain], SlotScheduler] = {}
         # Version of the upstreams and number of members that the schedulers know.
         self._applied_state = (-1, 0)
@@ -74,6 +77,7 @@
         peers.register(SlotRequest, self._handle_request)
         peers.register(SlotReturned, self._handle_return)
         peers.register(UpstreamCrashed, self._handle_crash)
+        peers.register(UpstreamLeaving, self._handle_leaving)
 
     async def start(self) -> None:
         self.start_event.set()
@@ -107,7 +111,9 @@
         scheduler = self._schedulers.get((service, domain))
         if scheduler is None:
             budget = self._build_budget(service, domain)
-            scheduler = SlotScheduler(service, self._crashes, self._random, budget)
+            scheduler = SlotScheduler(
+                service, self._crashes, self._random, budget, self._leaving_reports
+            )
             scheduler.update_upstreams(
                 self._follower.upstreams.list_usable(service, domain)
             )
@@ -176,3 +182,7 @@
         self._crashes.record_crash(crash.fingerprint, crash.upstream, now)
         for scheduler in self._schedulers.values():
             scheduler.handle_crash(crash.fingerprint, now)
+
+    def _handle_leaving(self, sender: str, leaving: UpstreamLeaving) -> None:
+        now = self._clock.boottime()
+        self._leaving_reports.record(leaving.upstream, leaving.started_at_ms, now)
--- a/libraries/gateway/shallotspindle_gateway/slot_requester.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 from collections.abc import Mapping, Set
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from absl import logging
@@ -21,6 +21,7 @@
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.peers import PeerTransport, RequestTimedOut
 from shallotspindle_gateway.records import Member
+from shallotspindle_gateway.upstream_notices import NoticeBoard
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -31,6 +32,7 @@
     SlotReturned,
     UpstreamCrashed,
 )
+from shallotspindle_notices.notices import Obstacle
 
 RESPONSE_TIMEOUT_SECONDS = 0.1
 # A lender that did not respond is not asked for this time; each further failure doubles
@@ -72,6 +74,7 @@
     :param fingerprint: hash by which the same request is recognized later.
     :param is_hedge: whether another attempt of the request is still running.
     :param excluded_upstreams: upstreams that the request was sent to before.
+    :param passed_over: filled with the upstreams that leave or want a pause.
     """
 
     service: ServiceName
@@ -85,6 +88,7 @@
     route_hash: int
     is_hedge: bool = False
     excluded_upstreams: tuple[UpstreamName, ...] = ()
+    passed_over: dict[UpstreamName, Obstacle] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,7 +162,9 @@
         peers: PeerTransport,
         clock: Clock,
         random: RandomSource,
+        notices: NoticeBoard,
     ) -> None:
+        self._notices = notices
         self._own_instance = own_instance
         self._follower = follower
         self._peers = peers
@@ -181,27 +187,60 @@
     ) -> AcquiredSlot | SlotRefusal:
         """Return a slot in the nearest domain that has one, or why there is none.
 
-        The removal of an upstream may reach its lender later than this instance. A
-        slot of such an upstream is returned, and another one is requested.
+        That an upstream leaves or wants a pause may reach its lender later than this
+        instance. A slot of such an upstream is returned, and another one is requested.
         """
         while True:
-            result = await self._acquire_once(requirements)
-            if isinstance(result, SlotRefusal) or not self._has_left(result):
+            refusal = await self._wait_for_pauses(requirements)
+            if refusal is not None:
+                return refusal
+            result = await self._acquire_once(self._exclude_obstructed(requirements))
+            if isinstance(result, SlotRefusal):
+                return result
+            obstacle = self._notices.find_obstacle(result.upstream)
+            if obstacle is None:
                 return result
             logging.info(
-                "lender %s granted a slot of upstream %s, which has left; "
+                "lender %s granted a slot of upstream %s, which is %s; "
                 "requesting another slot",
                 result.lender,
                 result.upstream,
+                obstacle.value,
             )
+            requirements.passed_over[result.upstream] = obstacle
             self.release_slot(requirements, result, Outcome.CANCELLED, 0.0)
             requirements = replace(
                 requirements,
                 excluded_upstreams=(*requirements.excluded_upstreams, result.upstream),
             )
 
-    def _has_left(self, slot: AcquiredSlot) -> bool:
-        return self._follower.upstreams.has_left(slot.upstream)
+    def _exclude_obstructed(self, requirements: SlotRequirements) -> SlotRequirements:
+        """Exclude the upstreams that leave or want a pause."""
+        obstacles = self._notices.list_obstacles(requirements.service)
+        requirements.passed_over.update(obstacles)
+        excluded = dict.fromkeys((*requirements.excluded_upstreams, *obstacles))
+        return replace(requirements, excluded_upstreams=tuple(excluded))
+
+    async def _wait_for_pauses(
+        self, requirements: SlotRequirements
+    ) -> SlotRefusal | None:
+        """Wait while all upstreams that the request may use want a pause.
+
+        :returns: a refusal if the request cannot wait for the first of them.
+        """
+        while True:
+            wait_seconds = self._notices.compute_wait(
+                requirements.service, requirements.excluded_upstreams
+            )
+            if not wait_seconds:
+                return None
+            if requirements.is_hedge or wait_seconds >= self._get_remaining_seconds(
+                requirements
+            ):
+                obstacles = self._notices.list_obstacles(requirements.service)
+                requirements.passed_over.update(obstacles)
+                return SlotRefusal(0, RefusalReason.PAUSED, wait_seconds)
+            await asyncio.sleep(wait_seconds)
 
     async def _acquire_once(
         self, requirements: SlotRequirements
--- a/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
@@ -13,6 +13,7 @@
     SlotRequirements,
     choose_unpopulated_domain,
 )
+from shallotspindle_gateway.upstream_notices import NoticeBoard
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -41,6 +42,9 @@
     def has_left(self, name):
         return name in self._removed
 
+    def get_incarnation(self, name):
+        return (name, 0)
+
 
 class FakeFollower:
     def __init__(self, *others, removed=()):
@@ -73,14 +77,18 @@
     )
 
 
+def build_requester(follower, peers) -> SlotRequester:
+    clock = SystemClock()
+    board = NoticeBoard(follower, peers, clock)
+    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(1), board)
+
+
 class TestAbandonedRequests:
     async def test_an_abandoned_slot_request_is_cancelled(self):
         # Guards against granted slots that stay unused. Their upstreams seemed to hang
         # for the 5 s of an upload, and a service of 15 upstreams lost a third of them.
         peers = SlowLender()
-        slot_requester = SlotRequester(
-            OWN_INSTANCE, FakeFollower(LENDER), peers, SystemClock(), Random(1)
-        )
+        slot_requester = build_requester(FakeFollower(LENDER), peers)
         refusal = await slot_requester.acquire_slot(build_requirements(0.2))
         assert isinstance(refusal, SlotRefusal)
         assert refusal.reason is RefusalReason.BUSY
@@ -125,9 +133,7 @@
 
     async def acquire_slot(self, peers, seconds):
         follower = FakeFollower(LENDER, REMOTE_LENDER)
-        slot_requester = SlotRequester(
-            OWN_INSTANCE, follower, peers, SystemClock(), Random(1)
-        )
+        slot_requester = build_requester(follower, peers)
         return await slot_requester.acquire_slot(build_requirements(seconds))
 
     async def test_they_are_asked_again_while_the_own_domain_has_no_slot(self):
@@ -189,9 +195,7 @@
         # of the removal and the lender did not.
         peers = OutdatedLender()
         follower = FakeFollower(LENDER, removed=("u1",))
-        slot_requester = SlotRequester(
-            OWN_INSTANCE, follower, peers, SystemClock(), Random(1)
-        )
+        slot_requester = build_requester(follower, peers)
         result = await slot_requester.acquire_slot(build_requirements(1.0))
         assert isinstance(result, AcquiredSlot)
         assert result.upstream == "u2"
@@ -203,9 +207,7 @@
         # Guards against slot requests without end to an outdated lender.
         peers = OutdatedLender()
         follower = FakeFollower(LENDER, removed=("u1", "u2"))
-        slot_requester = SlotRequester(
-            OWN_INSTANCE, follower, peers, SystemClock(), Random(1)
-        )
+        slot_requester = build_requester(follower, peers)
         result = await slot_requester.acquire_slot(build_requirements(1.0))
         assert isinstance(result, SlotRefusal)
         assert result.reason is RefusalReason.NO_UPSTREAM
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -33,6 +33,7 @@
     SlotRequest,
     SlotReturned,
     UpstreamCrashed,
+    UpstreamLeaving,
 )
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.envelopes import Ask, Reply, Tell
@@ -165,6 +166,10 @@
         UpstreamCrashed(fingerprint=1, upstream=UpstreamName("text-2")),
         [1, "crashseen", 1, "text-2"],
     ),
+    (
+        UpstreamLeaving(upstream=UpstreamName("text-1"), started_at_ms=2),
+        [1, "upstreamleaving", "text-1", 2],
+    ),
 ]
 
 
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import ClassVar
 
-from shallotspindle_core.bounds import Address, Priority, Seconds
+from shallotspindle_core.bounds import Address, Priority, Seconds, UnixMilliseconds
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 
 
@@ -35,6 +35,7 @@
 
     ``NO_BUDGET`` means that the retry budget is used up, ``QUARANTINED`` that the
     request has crashed upstreams, and ``NO_RESPONSE`` that no lender responded.
+    ``PAUSED`` means that all upstreams want a pause; no message contains it.
     """
 
     BUSY = "busy"
@@ -42,6 +43,7 @@
     NO_BUDGET = "no-budget"
     QUARANTINED = "held"
     NO_RESPONSE = "silent"
+    PAUSED = "paused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +149,18 @@
     upstream: UpstreamName
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """An upstream said in a response to the sender that it leaves.
+
+    :param started_at_ms: Unix time at which its incarnation started, in milliseconds;
+        0 if unknown.
+    """
+
+    upstream: UpstreamName
+    started_at_ms: UnixMilliseconds
+
+
 MESSAGE_TYPES = (
     SlotRequest,
     SlotGrant,
@@ -154,5 +168,6 @@
     SlotRefusal,
     SlotReturned,
     UpstreamCrashed,
+    UpstreamLeaving,
 )
 Decision = SlotGrant | SlotRefusal
--- a/libraries/lending/shallotspindle_lending/scheduler.py
+++ b/libraries/lending/shallotspindle_lending/scheduler.py
@@ -18,6 +18,7 @@
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_lending.crashes import CrashTracker
 from shallotspindle_lending.durations import Durations
+from shallotspindle_lending.leaving import LeavingReports
 from shallotspindle_lending.records import (
     Decision,
     Outcome,
@@ -111,6 +112,8 @@
     :param crash_tracker: requests that crash upstreams; shared by all schedulers of an
         instance.
     :param retry_budget: bounds the requests that are sent to a second upstream.
+    :param leaving_reports: upstreams that instances reported as leaving; shared by all
+        schedulers of an instance.
     """
 
     def __init__(
@@ -119,11 +122,13 @@
         crash_tracker: CrashTracker,
         random: RandomSource,
         retry_budget: RetryBudget,
+        leaving_reports: LeavingReports | None = None,
     ) -> None:
         self._service = service
         self._crash_tracker = crash_tracker
         self._random = random
         self.retry_budget = retry_budget
+        self._leaving_reports = leaving_reports or LeavingReports()
         self._durations = Durations()
         self._slow_routes = SlowRoutes()
         self._upstream_states: dict[UpstreamName, UpstreamState] = {}
@@ -218,12 +223,17 @@
             self._grant_times.popleft()
         return len(self._grant_times) / GRANT_RATE_WINDOW_SECONDS
 
+    def _list_staying(self, now: float) -> list[UpstreamState]:
+        """Return the upstreams that were not reported as leaving."""
+        states = self._upstream_states.values()
+        return self._leaving_reports.select_staying(states, now)
+
     def _count_slots(self, now: float) -> int:
         """Return the number of slots of the upstreams that are not suspended."""
         overdue = self._durations.overdue_seconds
         return sum(
             state.announcement.slots
-            for state in self._upstream_states.values()
+            for state in self._list_staying(now)
             if state.get_trust_tier(overdue, now) is not TrustTier.SUSPENDED
         )
 
@@ -312,7 +322,7 @@
 
         Under overload none has, and the queue need not be tried item by item.
         """
-        return any(state.has_free_slot(now) for state in self._upstream_states.values())
+        return any(state.has_free_slot(now) for state in self._list_staying(now))
 
     def _find_repeated_decision(
         self, request: SlotRequest
@@ -486,7 +496,7 @@
         overdue = self._durations.overdue_seconds
         return any(
             state.get_trust_tier(overdue, now) is TrustTier.VERIFIED
-            for state in self._upstream_states.values()
+            for state in self._list_staying(now)
         )
 
     @staticmethod
@@ -523,9 +533,7 @@
         """
         window_start = now - ACTIVITY_WINDOW_SECONDS
         eligible = [
-            state
-            for state in self._upstream_states.values()
-            if state.suspended_until <= now
+            state for state in self._list_staying(now) if state.suspended_until <= now
         ]
         active = sum(state.last_granted_at > window_start for state in eligible)
         if active >= MIN_ACTIVE_FRACTION * len(eligible):
@@ -546,15 +554,22 @@
             default=None,
         )
 
+    def _list_candidates(self, request: SlotRequest, now: float) -> list[UpstreamState]:
+        """Return the upstreams that the request was not sent to and that stay."""
+        candidates = [
+            state
+            for name, state in self._upstream_states.items()
+            if name not in request.excluded_upstreams
+        ]
+        return self._leaving_reports.select_staying(candidates, now)
+
     def _group_by_tier(
         self, request: SlotRequest, now: float
     ) -> dict[TrustTier, list[UpstreamState]]:
         """Return the upstreams that the request may use now, by tier."""
         tiers: dict[TrustTier, list[UpstreamState]] = {tier: [] for tier in TrustTier}
         overdue = self._durations.overdue_seconds
-        for name, state in self._upstream_states.items():
-            if name not in request.excluded_upstreams and state.is_available_to(
-                request.requester, now
-            ):
+        for state in self._list_candidates(request, now):
+            if state.is_available_to(request.requester, now):
                 tiers[state.get_trust_tier(overdue, now)].append(state)
         return tiers
--- a/libraries/lending/shallotspindle_lending/scheduler_test.py
+++ b/libraries/lending/shallotspindle_lending/scheduler_test.py
@@ -5,6 +5,7 @@
 
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_lending.crashes import CrashTracker
+from shallotspindle_lending.leaving import REPORT_SECONDS, LeavingReports
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -65,8 +66,13 @@
 
     def __init__(self, count: int = 3, retries: int = 3) -> None:
         self.crash_tracker = CrashTracker()
+        self.leaving_reports = LeavingReports()
         self.scheduler = SlotScheduler(
-            SERVICE, self.crash_tracker, SteppingRandom(), RetryBudget(0.18, retries)
+            SERVICE,
+            self.crash_tracker,
+            SteppingRandom(),
+            RetryBudget(0.18, retries),
+            self.leaving_reports,
         )
         self.known = {UpstreamName(f"u{n}"): build_known(f"u{n}") for n in range(count)}
         self.scheduler.update_upstreams(self.known)
@@ -437,3 +443,56 @@
             {UpstreamName("u2"): harness.known[UpstreamName("u2")]}
         )
         assert harness.grant_slot(build_request(1), 0.0).upstream == "u2"
+
+
+class TestLeavingReports:
+    def list_granted(self, harness, now):
+        """Return the upstreams of six slots that are requested at once."""
+        grants = [harness.grant_slot(build_request(n), now) for n in range(6)]
+        return {grant.upstream for grant in grants}
+
+    def test_an_upstream_that_was_reported_as_leaving_gets_no_request(self):
+        # Guards against each instance that has to learn of the departure itself.
+        harness = Harness(4)
+        harness.leaving_reports.record(UpstreamName("u1"), 1, 1.0)
+        assert self.list_granted(harness, 1.0) == {"u0", "u2", "u3"}
+
+    def test_another_incarnation_gets_requests(self):
+        # Guards against an old report that excludes an upstream that started again.
+        harness = Harness(3)
+        harness.leaving_reports.record(UpstreamName("u1"), 7, 1.0)
+        assert self.list_granted(harness, 1.0) == {"u0", "u1", "u2"}
+
+    def test_a_report_ends_by_itself(self):
+        # Guards against a wrong report that takes an upstream away for ever.
+        harness = Harness(3)
+        harness.leaving_reports.record(UpstreamName("u1"), 1, 1.0)
+        now = 1.0 + REPORT_SECONDS
+        assert self.list_granted(harness, now) == {"u0", "u1", "u2"}
+
+    def test_reports_do_not_empty_a_service(self):
+        # Guards against wrong reports of one instance that stop a whole service.
+        harness = Harness(3)
+        for name in ("u0", "u1"):
+            harness.leaving_reports.record(UpstreamName(name), 1, 1.0)
+        assert self.list_granted(harness, 1.0) == {"u0", "u1", "u2"}
+
+    def test_a_queued_request_is_not_granted_a_slot_of_a_leaving_upstream(self):
+        # Guards against requests that wait while their upstream leaves.
+        harness = Harness(2)
+        for number in range(4):
+            harness.grant_slot(build_request(number), 1.0)
+        assert harness.decide(build_request(9), 1.0) == []
+        harness.leaving_reports.record(UpstreamName("u1"), 1, 1.0)
+        returned = [
+            SlotReturned(n, "me", SERVICE, DOMAIN, name, Outcome.COMPLETE, 0.1)
+            for name in ("u1", "u0")
+            for n in range(4)
+            if ("me", n) in harness.scheduler.upstream_states[name].leases
+        ]
+        decided = [
+            item.decision.upstream
+            for message in returned
+            for item in harness.scheduler.return_slot(message, 1.1)
+        ]
+        assert decided == ["u0"]
--- a/libraries/notices/shallotspindle_notices/notices.py
+++ b/libraries/notices/shallotspindle_notices/notices.py
@@ -87,6 +87,11 @@
         # Number of notices by kind, for the metrics.
         self.counts: Counter[str] = Counter()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no upstream is known to leave or to have asked for a pause."""
+        return not self._leaving_until and not self._paused_until
+
     def record(self, upstream: Incarnation, notice: Notice, now: float) -> bool:
         """Record a notice; return whether it is the first that the upstream leaves."""
         if notice.is_malformed:
--- a/libraries/registry/shallotspindle_registry/directory.py
+++ b/libraries/registry/shallotspindle_registry/directory.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass
 
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
-from shallotspindle_registry.records import AnnouncedState, Announcement
+from shallotspindle_registry.records import (
+    AnnouncedState,
+    Announcement,
+    Incarnation,
+)
 
 # A live upstream announces itself again within 2 s after the store is available again.
 OUTAGE_GRACE_SECONDS = 2.0
@@ -125,6 +129,11 @@
         """Return an upstream by name."""
         return self._known.get(name)
 
+    def get_incarnation(self, name: UpstreamName) -> Incarnation:
+        """Return the latest known incarnation of an upstream."""
+        known = self._known.get(name)
+        return known.announcement.incarnation if known else (name, 0)
+
     def has_left(self, name: UpstreamName) -> bool:
         """Return whether an upstream is draining or left a short time ago.
 
--- a/libraries/registry/shallotspindle_registry/records.py
+++ b/libraries/registry/shallotspindle_registry/records.py
@@ -13,6 +13,11 @@
     DRAINING = "draining"
 
 
+# Name, and Unix time of the start in milliseconds; 0 if unknown.
+Incarnation = tuple[UpstreamName, int]
+UNKNOWN_INCARNATION: Incarnation = (UpstreamName(""), 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """What one incarnation of an upstream announces about itself.
@@ -35,6 +40,6 @@
     cold_seconds: float = 0.0
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Identifier that differs between incarnations with the same name."""
         return (self.name, self.started_at_ms)
