Heed what upstreams say of themselves at the entry daemon

Cause: the entry daemon read that an upstream drains only at the end of the response, so that requests went to it while a long body arrived, and it did not read that an upstream wants a pause.

Change: the notice is read with the head of the response, by the same library as at the gateway. A pausing upstream leaves the dispatcher until its pause ends; if all upstreams of a service pause, a request waits for the first of them or is refused at once with that time. A draining upstream is tried again after 60 s as before, since bundles do not name incarnations. AttemptSample has no is_draining any more; its test now sends the notice and is as strict.

--- a/libraries/entry/shallotspindle_entry/balancing.py
+++ b/libraries/entry/shallotspindle_entry/balancing.py
@@ -9,6 +9,8 @@
 from itertools import count
 from typing import Any
 
+from absl import logging
+
 from shallotspindle_bundles.records import Service, Team, Upstream
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import (
@@ -31,6 +33,7 @@
 from shallotspindle_health.messages import CrashNotice, SuspicionReport
 from shallotspindle_health.monitor import HealthMessage, HealthMonitor, ServiceUpstreams
 from shallotspindle_health.scoring import Outcome
+from shallotspindle_notices.notices import Notice, Obstacle, UpstreamNotices
 from shallotspindle_retries.budget import RetryBudget
 from shallotspindle_routing import subsets
 from shallotspindle_routing.dispatch import Assigned, Decision, Dispatcher
@@ -93,6 +96,11 @@
     concurrency_limit: float
 
 
+def identify(upstream: Upstream) -> tuple[UpstreamName, str]:
+    """Return what identifies an upstream; bundles do not name its incarnation."""
+    return (upstream.name, upstream.address)
+
+
 class TeamRates(Mapping[TeamName, float]):
     """Rates of the teams in a bundle, read through without a copy."""
 
@@ -153,7 +161,9 @@
         self._health_monitor = HealthMonitor(own_instance, random)
         self._service_states: dict[ServiceName, ServiceState] = {}
         self._leaving_upstreams: frozenset[UpstreamName] = frozenset()
-        self._draining_until: dict[UpstreamName, float] = {}
+        self._notices = UpstreamNotices(DRAINING_EXPIRY_SECONDS)
+        # Replaced each time that notices have expired.
+        self._notices_expired = asyncio.Event()
         self._instances_by_domain = {own_instance.domain: 1}
         self._request_numbers = count(1)
         self._waiters: dict[int, asyncio.Future[Upstream | None]] = {}
@@ -206,20 +216,60 @@
             return RequestHeld(service, "the request crashed upstreams before")
         if not tried_upstreams:
             state.budget.count_request(now)
-        number = next(self._request_numbers)
-        upstream = await self._wait_for_upstream(
-            state, QueuedRequest(number, team, fingerprint, tried_upstreams, deadline)
-        )
-        if upstream is None:
-            return NoCapacity(
-                service, "no upstream became available before the deadline"
+        upstream = None
+        while upstream is None:
+            if not await self._wait_for_pauses(state, tried_upstreams, deadline):
+                wait_seconds = self._compute_wait(state, tried_upstreams)
+                message = "all upstreams want a pause"
+                return NoCapacity(service, message, retry_after=wait_seconds)
+            number = next(self._request_numbers)
+            request = QueuedRequest(
+                number, team, fingerprint, tried_upstreams, deadline
             )
+            upstream = await self._wait_for_upstream(state, request)
+            if upstream is None and not self._compute_wait(state, tried_upstreams):
+                return NoCapacity(
+                    service, "no upstream became available before the deadline"
+                )
         if self._health_monitor.is_quarantined(fingerprint, self._clock.boottime()):
             # The same request crashed another upstream while this one was queued.
             self._release_slot(number)
             return RequestHeld(service, "the request crashed upstreams before")
         return Assignment(upstream, number)
 
+    async def _wait_for_pauses(
+        self,
+        state: ServiceState,
+        tried_upstreams: frozenset[UpstreamName],
+        deadline: float,
+    ) -> bool:
+        """Wait while all upstreams want a pause.
+
+        :returns: whether one may get a request before the deadline.
+        """
+        while wait_seconds := self._compute_wait(state, tried_upstreams):
+            if self._clock.boottime() + wait_seconds >= deadline:
+                return False
+            await self._notices_expired.wait()
+        return True
+
+    def _compute_wait(
+        self, state: ServiceState, tried_upstreams: frozenset[UpstreamName]
+    ) -> float:
+        """Return the seconds until the first pause of the upstreams ends.
+
+        :returns: 0 if an upstream may get a request now, or if none will.
+        """
+        if self._notices.is_empty:
+            return 0.0
+        now = self._clock.boottime()
+        waits = [
+            self._notices.compute_wait(identify(upstream), now)
+            for upstream in state.service.upstreams
+            if upstream.name not in tried_upstreams and not self._is_leaving(upstream)
+        ]
+        return min(waits, default=0.0)
+
     def finish(self, assignment: Assignment, sample: AttemptSample) -> None:
         active_request = self._active_requests.pop(assignment.number, None)
         state = self._service_states.get(active_request[0]) if active_request else None
@@ -227,9 +277,6 @@
             return
         now = self._clock.boottime()
         name = assignment.upstream.name
-        if sample.is_draining and name not in self._draining_until:
-            self._draining_until[name] = now + DRAINING_EXPIRY_SECONDS
-            self._update_leaving()
         outcome = sample.outcome
         decisions = state.dispatcher.finish(
             assignment.number, outcome, sample.duration_seconds, sample.load, now
@@ -239,6 +286,20 @@
         )
         self._apply_decisions(state, decisions)
 
+    def record_notice(self, upstream: Upstream, notice: Notice) -> None:
+        now = self._clock.boottime()
+        is_news = self._notices.record(identify(upstream), notice, now)
+        if is_news:
+            logging.info("upstream %s says that it leaves", upstream.name)
+        if notice.pause_seconds:
+            logging.info(
+                "upstream %s wants no requests for %.2f s",
+                upstream.name,
+                notice.pause_seconds,
+            )
+        if is_news or notice.pause_seconds:
+            self._update_leaving()
+
     def may_retry(self, service: ServiceName) -> bool:
         state = self._service_states.get(service)
         return state is not None and state.budget.take_retry(self._clock.boottime())
@@ -358,18 +419,22 @@
             self._choose_subset(state)
 
     def _is_leaving(self, upstream: Upstream) -> bool:
-        reported_draining = upstream.name in self._draining_until
         return (
-            reported_draining
+            self._find_obstacle(upstream) is Obstacle.LEAVING
             or upstream.draining
             or upstream.name in self._leaving_upstreams
         )
 
+    def _find_obstacle(self, upstream: Upstream) -> Obstacle | None:
+        now = self._clock.boottime()
+        return self._notices.find_obstacle(identify(upstream), now)
+
     def _choose_subset(self, state: ServiceState) -> None:
         available = [
             upstream
             for upstream in state.service.upstreams
             if not self._is_leaving(upstream)
+            and self._find_obstacle(upstream) is not Obstacle.PAUSED
         ]
         chosen = subsets.choose_subset(
             self._own_instance.incarnation,
@@ -399,7 +464,10 @@
     def _tick(self) -> None:
         now = self._clock.boottime()
         self._send_to_peers(self._health_monitor.tick(now))
-        self._expire_draining(now)
+        if self._notices.expire(now):
+            self._update_leaving()
+            self._notices_expired.set()
+            self._notices_expired = asyncio.Event()
         instances_by_domain = self._count_instances()
         has_changed = instances_by_domain != self._instances_by_domain
         self._instances_by_domain = instances_by_domain
@@ -408,17 +476,6 @@
                 self._choose_subset(state)
         self._advance_all()
 
-    def _expire_draining(self, now: float) -> None:
-        expired = [
-            name
-            for name, expires_at in self._draining_until.items()
-            if now >= expires_at
-        ]
-        for name in expired:
-            del self._draining_until[name]
-        if expired:
-            self._update_leaving()
-
     def _take_snapshot(self) -> tuple[ServiceSnapshot, ...]:
         descriptions = self._health_monitor.describe(self._clock.boottime())
         return tuple(
--- a/libraries/entry/shallotspindle_entry/balancing_test.py
+++ b/libraries/entry/shallotspindle_entry/balancing_test.py
@@ -17,6 +17,7 @@
 )
 from shallotspindle_health.messages import CrashNotice
 from shallotspindle_health.scoring import Outcome
+from shallotspindle_notices.notices import Notice
 
 OWN_INSTANCE = Instance("i0", "10.0.0.1:1", "d0")
 PEER = Instance("i1", "10.0.0.2:1", "d1")
@@ -65,6 +66,13 @@
             "stock", "team", fingerprint, tried_upstreams, deadline
         )
 
+    async def receive_notice(self, notice):
+        """Serve a request whose response has a notice; return the upstream's name."""
+        assignment = await self.assign()
+        self.task.record_notice(assignment.upstream, notice)
+        self.task.finish(assignment, AttemptSample(Outcome.COMPLETE, 0.02))
+        return assignment.upstream.name
+
     async def serve_requests(self, count, outcome=Outcome.COMPLETE, **fields):
         names = []
         for _ in range(count):
@@ -141,8 +149,47 @@
 
     async def test_upstream_that_reports_draining_gets_no_new_requests(self, harness):
         # Guards against requests to an upstream until the next bundle marks it.
-        names = await harness.serve_requests(1, is_draining=True)
-        assert names[0] not in await harness.serve_requests(50)
+        name = await harness.receive_notice(Notice(is_leaving=True))
+        assert name not in await harness.serve_requests(50)
+
+    async def test_upstream_that_reported_draining_is_tried_again_later(self, harness):
+        # Guards against an upstream that is lost after its restart.
+        name = await harness.receive_notice(Notice(is_leaving=True))
+        # The second tick comes after the time in which its share grows again.
+        for _ in range(2):
+            harness.clock.advance(balancing.DRAINING_EXPIRY_SECONDS)
+            await harness.task.handle(balancing.Tick())
+        assert name in await harness.serve_requests(50)
+
+
+class TestPauses:
+    async def test_upstream_that_wants_a_pause_gets_no_new_requests(self, harness):
+        # Guards against requests to an upstream that has just refused one.
+        name = await harness.receive_notice(Notice(pause_seconds=2.0))
+        assert name not in await harness.serve_requests(50)
+        harness.clock.advance(2.0)
+        await harness.task.handle(balancing.Tick())
+        assert name in await harness.serve_requests(50)
+
+    async def test_request_that_cannot_wait_is_refused_at_once(self, harness):
+        # Guards against callers that wait for their deadline while all upstreams want
+        # a longer pause.
+        for seconds in (9.0, 6.0, 8.0, 7.0):
+            await harness.receive_notice(Notice(pause_seconds=seconds))
+        refusal = await harness.assign(timeout_seconds=5.0)
+        assert isinstance(refusal, NoCapacity)
+        assert refusal.retry_after == 6.0
+
+    async def test_request_that_can_wait_gets_the_first_upstream(self, harness):
+        # Guards against refusing a request that can be served in time.
+        for seconds in (2.0, 1.0, 3.0, 4.0):
+            await harness.receive_notice(Notice(pause_seconds=seconds))
+        waiting = asyncio.create_task(harness.assign(timeout_seconds=5.0))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        harness.clock.advance(1.0)
+        await harness.task.handle(balancing.Tick())
+        assert isinstance(await waiting, Assignment)
 
 
 class TestPeerReports:
--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -4,7 +4,7 @@
 the caller's connection, and a response that names another request is dropped.
 """
 
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 import aiohttp
@@ -20,6 +20,7 @@
 from shallotspindle_entry.headers import RequestOrigin
 from shallotspindle_entry.interfaces import AttemptSample, StoredResponse
 from shallotspindle_health.scoring import Outcome
+from shallotspindle_notices.notices import NO_NOTICE, Notice
 from shallotspindle_retries import eligibility
 
 MAX_STORED_BODY_BYTES = 64 * 1024
@@ -49,7 +50,6 @@
     :param did_not_run: whether the upstream certainly did not run the request.
     :param status: status of a response that was not passed to the caller.
     :param load: load that the upstream reported, or None.
-    :param is_draining: whether the upstream reported that it is draining.
     """
 
     outcome: Outcome
@@ -58,7 +58,6 @@
     did_not_run: bool = False
     status: int | None = None
     load: float | None = None
-    is_draining: bool = False
     duration_seconds: float = 0.0
 
     @property
@@ -72,9 +71,7 @@
 
     def build_sample(self) -> AttemptSample:
         """Return the measurements that the balancer records about the upstream."""
-        return AttemptSample(
-            self.outcome, self.duration_seconds, self.load, self.is_draining
-        )
+        return AttemptSample(self.outcome, self.duration_seconds, self.load)
 
 
 def check_response(response: aiohttp.ClientResponse, call: Call) -> None:
@@ -111,11 +108,20 @@
 
 
 class Exchange:
-    """Sends a request to upstreams and streams the response to the caller."""
+    """Sends a request to upstreams and streams the response to the caller.
+
+    :param record_notice: called with what a response says of its upstream.
+    """
 
     def __init__(
-        self, forwarder: Forwarder, clock: Clock, request: web.Request, call: Call
+        self,
+        forwarder: Forwarder,
+        clock: Clock,
+        request: web.Request,
+        call: Call,
+        record_notice: Callable[[Upstream, Notice], None],
     ) -> None:
+        self._record_notice = record_notice
         self._forwarder = forwarder
         self._clock = clock
         self._request = request
@@ -157,8 +163,10 @@
             call.is_idempotent,
         ) as response:
             attempt.load = headers.read_load(response.headers)
-            attempt.is_draining = headers.is_draining(response.headers)
             check_response(response, call)
+            notice = headers.read_notice(response.status, response.headers)
+            if notice is not NO_NOTICE:
+                self._record_notice(upstream, notice)
             if response.status == UNAVAILABLE:
                 attempt.did_not_run = headers.says_not_run(response.headers)
                 if attempt.did_not_run or call.is_idempotent:
--- a/libraries/entry/shallotspindle_entry/execution.py
+++ b/libraries/entry/shallotspindle_entry/execution.py
@@ -86,7 +86,9 @@
         :param progress: updated while the call runs, so that a cancelled call can state
             what is known of it.
         """
-        exchange = Exchange(self._forwarder, self._clock, request, call)
+        exchange = Exchange(
+            self._forwarder, self._clock, request, call, self._balancer.record_notice
+        )
         fingerprint = calls.fingerprint_request(call)
         tried_upstreams: frozenset[UpstreamName] = frozenset()
         last_attempt: AttemptResult | None = None
@@ -174,7 +176,13 @@
             if progress.may_have_run
             else OperationOutcome.NOT_RUN
         )
-        return replace(problems.NO_CAPACITY, outcome=outcome, is_forwarded=is_forwarded)
+        retry_after = refusal.retry_after or problems.NO_CAPACITY.retry_after
+        return replace(
+            problems.NO_CAPACITY,
+            outcome=outcome,
+            is_forwarded=is_forwarded,
+            retry_after=retry_after,
+        )
 
     @staticmethod
     def _build_failure_problem(
--- a/libraries/entry/shallotspindle_entry/fakes.py
+++ b/libraries/entry/shallotspindle_entry/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+from shallotspindle_bundles.records import Upstream
 from shallotspindle_core.identifiers import ServiceName, TeamName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_entry.configuration import ConfigurationTask
@@ -15,6 +16,7 @@
     NoCapacity,
     StoredResponse,
 )
+from shallotspindle_notices.notices import Notice
 
 
 class AlwaysFresh:
@@ -98,5 +100,8 @@
     def finish(self, assignment: Assignment, sample: AttemptSample) -> None:
         self._in_flight[assignment.upstream.name] -= 1
 
+    def record_notice(self, upstream: Upstream, notice: Notice) -> None:
+        """Ignore the notice; this balancer excludes no upstream."""
+
     def may_retry(self, service: ServiceName) -> bool:
         return True
--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -10,6 +10,7 @@
 
 from shallotspindle_entry import bodies, certificates, frontend
 from shallotspindle_entry.conftest import API_KEY, await_true
+from shallotspindle_notices.notices import Notice
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 HEADERS = "Host: shop.test\r\nAuthorization: Bearer museum-key\r\n"
@@ -272,6 +273,32 @@
         assert proxy.upstream.connections == 2
 
 
+class TestNotices:
+    @pytest.mark.parametrize(
+        ("head", "expected"),
+        [
+            ("HTTP/1.1 200 OK\r\nUpstream-Draining: true", Notice(is_leaving=True)),
+            ("HTTP/1.1 200 OK\r\nUpstream-Draining: 1", Notice(is_leaving=True)),
+            ("HTTP/1.1 503 Busy\r\nRetry-After: 2.5", Notice(pause_seconds=2.5)),
+            ("HTTP/1.1 503 Busy\r\nRetry-After: soon", Notice(is_malformed=True)),
+        ],
+    )
+    async def test_the_head_of_a_response_is_enough(
+        self, proxy, monkeypatch, head, expected
+    ):
+        # Guards against requests that are sent while a long body arrives.
+        recorded = []
+        monkeypatch.setattr(
+            type(proxy.balancer),
+            "record_notice",
+            lambda self, upstream, notice: recorded.append(notice),
+        )
+        response = f"{head}\r\nContent-Length: 50\r\n\r\npart".encode()
+        proxy.upstream.scripts = [proxy.upstream.respond(response)]
+        await proxy.send(post("/records/1"))
+        assert recorded == [expected]
+
+
 class TestIdempotencyKey:
     async def test_retry_with_the_key_gets_the_first_response(self, proxy):
         # Guards against running a request again when its caller retries.
--- a/libraries/entry/shallotspindle_entry/headers.py
+++ b/libraries/entry/shallotspindle_entry/headers.py
@@ -9,12 +9,15 @@
 from multidict import CIMultiDict
 
 from shallotspindle_entry import deadlines
+from shallotspindle_notices import notices
+from shallotspindle_notices.notices import Notice
 from shallotspindle_retries import eligibility
 
 REQUEST_ID = "X-Request-Id"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 LOAD = "Upstream-Load"
 DRAINING = "Upstream-Draining"
+RETRY_AFTER = "Retry-After"
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -117,9 +120,10 @@
         return None
 
 
-def is_draining(headers: Mapping[str, str]) -> bool:
-    """Return whether an upstream reports in its response that it is draining."""
-    return headers.get(DRAINING, "").strip().lower() == "true"
+def read_notice(status: int, headers: Mapping[str, str]) -> Notice:
+    """Return what a response says of its upstream."""
+    leaving, retry_after = headers.get(DRAINING, ""), headers.get(RETRY_AFTER, "")
+    return notices.read_notice(status, leaving, retry_after)
 
 
 def says_not_run(headers: Mapping[str, str]) -> bool:
--- a/libraries/entry/shallotspindle_entry/interfaces.py
+++ b/libraries/entry/shallotspindle_entry/interfaces.py
@@ -18,6 +18,7 @@
     UpstreamName,
 )
 from shallotspindle_health.scoring import Outcome
+from shallotspindle_notices.notices import Notice
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +128,12 @@
 
 @dataclass(frozen=True, slots=True)
 class NoCapacity(Failure):
-    """No upstream became available before the deadline of the request."""
+    """No upstream became available before the deadline of the request.
+
+    :param retry_after: seconds until one is expected, or None if that is unknown.
+    """
+
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,13 +147,11 @@
 
     :param duration_seconds: time to the end of the response.
     :param load: load that the upstream reported in its response, or None.
-    :param is_draining: whether the upstream reported that it is draining.
     """
 
     outcome: Outcome
     duration_seconds: float
     load: float | None = None
-    is_draining: bool = False
 
 
 class Balancer(Protocol):
@@ -168,6 +172,9 @@
         :param deadline: boot-time in seconds.
         """
 
+    def record_notice(self, upstream: Upstream, notice: Notice) -> None:
+        """Record what a response said of its upstream, before its body is complete."""
+
     def finish(self, assignment: Assignment, sample: AttemptSample) -> None:
         """Release the upstream's slot and record the sample."""
 
--- a/libraries/notices/shallotspindle_notices/notices.py
+++ b/libraries/notices/shallotspindle_notices/notices.py
@@ -108,10 +108,18 @@
             self._leaving_until.popitem(last=False)
         return True
 
+    def expire(self, now: float) -> bool:
+        """Forget notices whose time is over; return whether there were any."""
+        known = len(self._leaving_until) + len(self._paused_until)
+        for notices in (self._leaving_until, self._paused_until):
+            for upstream in [key for key, end in notices.items() if end <= now]:
+                del notices[upstream]
+        return len(self._leaving_until) + len(self._paused_until) < known
+
     def _record_pause(self, upstream: Incarnation, until: float, now: float) -> None:
-        running = {key: end for key, end in self._paused_until.items() if end > now}
-        running[upstream] = max(until, running.get(upstream, until))
-        self._paused_until = running
+        self.expire(now)
+        known_until = self._paused_until.get(upstream, until)
+        self._paused_until[upstream] = max(until, known_until)
 
     def _is_leaving(self, upstream: Incarnation, now: float) -> bool:
         return now < self._leaving_until.get(upstream, float("-inf"))
