Let upstreams of the soak say that they leave or want a pause

Cause: no soak upstream sent either notice, so nothing showed that the gateway heeds them while the store is away, processes restart and links are cut.

Change: the faults leave (with a restart at the same address for odd targets) and ask-for-pause, the promises leaving and pause, and variants that ignore either notice. The promises excuse only a halt of the gateway's process. Two older variants follow the changed signatures. Regression seeds leave the new faults out.

--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -23,6 +23,7 @@
 from shallotspindle_gateway.pipeline import Pipeline
 from shallotspindle_gateway.problems import NO_SLOT
 from shallotspindle_gateway.records import Member
+from shallotspindle_notices import notices
 from shallotspindle_registry.directory import UpstreamDirectory
 from shallotspindle_registry.records import AnnouncedState
 from shallotspindle_retries.budget import RetryBudget
@@ -39,8 +40,8 @@
     """Retry orders as if they were idempotent."""
     build = Pipeline._build_requirements
 
-    def build_idempotent(self, call, body):
-        return replace(build(self, call, body), is_idempotent=True)
+    def build_idempotent(self, *arguments):
+        return replace(build(self, *arguments), is_idempotent=True)
 
     Pipeline._build_requirements = build_idempotent
 
@@ -59,18 +60,7 @@
 
 def believe_answers() -> None:
     """Accept the response to any request."""
-    classify = forwarding.Forwarder._classify_response
-
-    def classify_any(self, request, response, body):
-        sent_id = request.headers.get(self._request_id_header)
-        request.headers[self._request_id_header] = response.headers.get(
-            self._request_id_header, ""
-        )
-        outcome = classify(self, request, response, body)
-        request.headers[self._request_id_header] = sent_id
-        return outcome
-
-    forwarding.Forwarder._classify_response = classify_any
+    forwarding.Forwarder._names_another_request = lambda self, *arguments: False
 
 
 def pass_keys() -> None:
@@ -214,6 +204,22 @@
     stored_forms.decode_member = decode_unchecked
 
 
+def _change_notices(**changes) -> None:
+    """Replace fields of what each response says of its upstream."""
+    read = notices.read_notice
+    notices.read_notice = lambda *values: replace(read(*values), **changes)
+
+
+def ignore_leaving() -> None:
+    """Ignore that upstreams say in responses that they leave."""
+    _change_notices(is_leaving=False)
+
+
+def ignore_pauses() -> None:
+    """Ignore that upstreams want a pause."""
+    _change_notices(pause_seconds=0.0)
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     item.__name__: item
     for item in (
@@ -232,6 +238,8 @@
         keep_answers,
         end_on_errors,
         trust_entries,
+        ignore_leaving,
+        ignore_pauses,
     )
 }
 
--- a/libraries/soak/shallotspindle_soak/faults.py
+++ b/libraries/soak/shallotspindle_soak/faults.py
@@ -46,6 +46,9 @@
     STOP_ALL = "roll"
     # Another writer leaves malformed entries in the store.
     MALFORMED_ENTRIES = "malformed-entries"
+    # An upstream says in its responses that it leaves, or that it wants a pause.
+    LEAVE = "leave"
+    ASK_FOR_PAUSE = "ask-for-pause"
 
 
 # Relative frequency of each kind. The faults that a seed draws depend on the order.
@@ -76,6 +79,8 @@
     Fault.OVERLOAD: 2,
     Fault.STOP_ALL: 2,
     Fault.MALFORMED_ENTRIES: 2,
+    Fault.LEAVE: 2,
+    Fault.ASK_FOR_PAUSE: 2,
 }
 MAX_DURATION_SECONDS = 6.0
 # A gateway that is cut off from the store misses a withdrawal only if the key is
--- a/libraries/soak/shallotspindle_soak/fleet.py
+++ b/libraries/soak/shallotspindle_soak/fleet.py
@@ -302,7 +302,12 @@
     def announce_upstream(self, proxied: ProxiedUpstream, state: str) -> None:
         """Write the announcement of an upstream to the store."""
         key, value = documents.build_announcement(
-            proxied.upstream.name, SERVICE, proxied.address, proxied.domain, state
+            proxied.upstream.name,
+            SERVICE,
+            proxied.address,
+            proxied.domain,
+            state,
+            started_at_ms=proxied.upstream.incarnation + 1,
         )
         self.store.put(key, value)
 
@@ -311,6 +316,12 @@
         self.announce_upstream(proxied, "draining")
         self.history.drained_upstreams[proxied.upstream.name] = self.clock.boottime()
 
+    def restart_upstream(self, proxied: ProxiedUpstream) -> None:
+        """Begin another incarnation of an upstream at its address."""
+        proxied.upstream.incarnation += 1
+        proxied.upstream.is_leaving = False
+        self.announce_upstream(proxied, "ready")
+
     def remove_upstream(self, proxied: ProxiedUpstream) -> None:
         """Remove the announcement of a drained upstream."""
         self.store.remove(ANNOUNCEMENT_PREFIX + proxied.upstream.name)
@@ -355,6 +366,15 @@
         interval = Interval(started_at, self.clock.boottime())
         self.history.gateway_faults.setdefault(gateway, []).append(interval)
 
+    @contextmanager
+    def record_gateway_halt(self, gateway: str) -> Iterator[None]:
+        """Record how long a gateway process is paused or down."""
+        started_at = self.clock.boottime()
+        with self.record_gateway_fault(gateway):
+            yield
+        interval = Interval(started_at, self.clock.boottime())
+        self.history.gateway_halts.setdefault(gateway, []).append(interval)
+
     @contextmanager
     def record_upstream_link_fault(self) -> Iterator[None]:
         """Record how long the enclosed fault of a link to an upstream lasts."""
--- a/libraries/soak/shallotspindle_soak/injection.py
+++ b/libraries/soak/shallotspindle_soak/injection.py
@@ -34,6 +34,7 @@
     Fault.SHED: UpstreamMode.SHED,
     Fault.ENDLESS_HEAD: UpstreamMode.ENDLESS_HEAD,
     Fault.ENDLESS_BODY: UpstreamMode.ENDLESS_BODY,
+    Fault.ASK_FOR_PAUSE: UpstreamMode.PAUSE,
 }
 # What another writer may leave under any key: see also the tests of the borders.
 MALFORMED_VALUES = (
@@ -68,6 +69,7 @@
             Fault.DELAY_UPSTREAM: self._delay_upstream_link,
             Fault.CUT_PEERS: self._cut_peer_links,
             Fault.DRAIN: self._drain_upstream,
+            Fault.LEAVE: self._leave,
             Fault.WITHDRAW_KEY: self._withdraw_key,
             Fault.CHANGE_CONFIGURATION: self._change_configuration,
             Fault.OVERLOAD: self._overload,
@@ -110,7 +112,7 @@
 
     async def _pause(self, event: FaultEvent) -> None:
         gateway = self._find_gateway(event)
-        with self._fleet.record_gateway_fault(gateway.name):
+        with self._fleet.record_gateway_halt(gateway.name):
             gateway.send_signal(signal.SIGSTOP)
             await asyncio.sleep(event.duration_seconds)
             gateway.send_signal(signal.SIGCONT)
@@ -118,7 +120,7 @@
     async def _kill(self, event: FaultEvent) -> None:
         gateway = self._find_gateway(event)
         async with gateway.lock:
-            with self._fleet.record_gateway_fault(gateway.name):
+            with self._fleet.record_gateway_halt(gateway.name):
                 gateway.send_signal(signal.SIGKILL)
                 await gateway.process.wait()
                 await asyncio.sleep(RESTART_DELAY_SECONDS)
@@ -265,6 +267,23 @@
         await asyncio.sleep(REMOVAL_DELAY_SECONDS)
         self._fleet.remove_upstream(proxied)
 
+    async def _leave(self, event: FaultEvent) -> None:
+        """Let an upstream say that it leaves, while the store lists it as ready.
+
+        For odd targets it then starts again under its name, else its entry is removed.
+        """
+        proxied = self._find_upstream(event)
+        if proxied is None or proxied.upstream.is_leaving:
+            return
+        await self._fleet.add_upstream()
+        proxied.upstream.is_leaving = True
+        await asyncio.sleep(REMOVAL_DELAY_SECONDS)
+        if event.target % 2:
+            self._fleet.restart_upstream(proxied)
+        else:
+            self._fleet.drain_upstream(proxied)
+            self._fleet.remove_upstream(proxied)
+
     async def _write_malformed_entries(self, event: FaultEvent) -> None:
         """Write malformed entries beside those of upstreams and gateways.
 
--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -80,6 +80,11 @@
         ],
         "drain",
     ),
+    "ignore_leaving": ([FaultEvent(0.0, Fault.LEAVE, 0.0, 0)], "leaving"),
+    "ignore_pauses": (
+        [FaultEvent(0.0, Fault.ASK_FOR_PAUSE, 5.0, n) for n in range(4)],
+        "pause",
+    ),
 }
 
 
--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -37,7 +37,12 @@
 MIN_LOSS_SECONDS = 0.2
 # No route's timeout is shorter, so a request that gets 504 sooner was cancelled.
 MIN_ROUTE_TIMEOUT_SECONDS = 1.4
+STATUS_OK = 200
 GATEWAY_TIMEOUT = 504
+# An upstream that asks for a pause may get requests until the pause is known, and so
+# many after that.
+PAUSE_REACTION_SECONDS = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 MAX_MEMORY_BYTES = 300 * 1024**2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RECOVERY_SECONDS = 6.0
@@ -230,6 +235,55 @@
             )
 
 
+def check_leaving(history: History) -> Iterator[Violation]:
+    """A gateway that passed on that an upstream leaves sends it nothing new.
+
+    Neither the store nor the connection to it is an excuse, only a halt of the process.
+    """
+    executions = group_executions(history)
+    noticed_at: dict[tuple[str, str, int], float] = {}
+    for call in sorted(history.calls, key=lambda call: call.ended_at):
+        if call.status != STATUS_OK or len(executions[call.request_id]) != 1:
+            continue
+        (execution,) = executions[call.request_id]
+        if execution.said_leaving:
+            key = (call.gateway, execution.upstream, execution.incarnation)
+            noticed_at.setdefault(key, call.ended_at)
+    for call in history.calls:
+        for execution in executions[call.request_id]:
+            key = (call.gateway, execution.upstream, execution.incarnation)
+            since = noticed_at.get(key)
+            if since is None or call.sent_at <= since + DRAIN_SECONDS:
+                continue
+            if not history.was_halted(call.gateway, since, execution.started_at):
+                detail = f"{call.sent_at - since:.1f} s after {execution.upstream}"
+                yield Violation("leaving", call.request_id, detail)
+
+
+def check_pauses(history: History) -> Iterator[Violation]:
+    """An upstream that asked a gateway for a pause gets hardly any requests from it."""
+    gateways = {call.request_id: call.gateway for call in history.calls}
+    arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for execution in history.executions:
+        gateway = gateways.get(execution.request_id, "")
+        arrivals[gateway, execution.upstream].append(execution.started_at)
+    for rejection in history.rejections:
+        gateway = gateways.get(rejection.request_id, "")
+        arrivals[gateway, rejection.upstream].append(rejection.rejected_at)
+    for rejection in history.rejections:
+        gateway = gateways.get(rejection.request_id, "")
+        start = rejection.rejected_at + PAUSE_REACTION_SECONDS
+        end = rejection.rejected_at + rejection.pause_seconds
+        times = arrivals[gateway, rejection.upstream]
+        count = sum(start < time < end for time in times)
+        if count <= MAX_REQUESTS_IN_PAUSE:
+            continue
+        if history.was_halted(gateway, rejection.rejected_at, end):
+            continue
+        detail = f"{count} requests from {gateway} to {rejection.upstream}"
+        yield Violation("pause", rejection.request_id, detail)
+
+
 def check_stops(history: History) -> Iterator[Violation]:
     """A graceful shutdown answers fully sent requests and cancels no running ones.
 
@@ -386,6 +440,8 @@
     check_rates,
     check_retries,
     check_drains,
+    check_leaving,
+    check_pauses,
     check_stops,
     check_memory,
     check_survival,
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -3,7 +3,14 @@
 import pytest
 
 from shallotspindle_soak import promises
-from shallotspindle_soak.records import Call, Execution, History, Interval, RequestKind
+from shallotspindle_soak.records import (
+    Call,
+    Execution,
+    History,
+    Interval,
+    Rejection,
+    RequestKind,
+)
 
 ORDER = Call("r1", RequestKind.ORDER, "museum", "k1", "g1", 10.0, 10.2, 200)
 EXECUTION = Execution("r1", "u1", "museum", has_key=False, started_at=10.1)
@@ -225,3 +232,28 @@
         assert list_violations(build_history(aborted, **late_history)) == []
         late_history["callers_stopped_at"] = 13.0
         assert list_violations(build_history(aborted, **late_history)) == ["recovery"]
+
+    def test_requests_after_an_upstream_said_that_it_leaves_are_reported(self):
+        notice = replace(EXECUTION, said_leaving=True)
+        late_call = replace(ORDER, request_id="r2", sent_at=12.3)
+        late = replace(EXECUTION, request_id="r2", started_at=12.4)
+        history = build_history(ORDER, notice, late)
+        history.calls.append(late_call)
+        assert list_violations(history) == ["leaving"]
+        history.executions[1] = replace(late, incarnation=1)
+        assert list_violations(history) == []
+        history.executions[1] = late
+        history.gateway_halts["g1"] = [Interval(11.0, 11.1)]
+        assert list_violations(history) == []
+
+    def test_requests_in_a_pause_are_reported(self):
+        calls = [replace(ORDER, request_id=f"r{n}") for n in range(4)]
+        executions = [
+            replace(EXECUTION, request_id=f"r{n}", started_at=10.7 + n / 10)
+            for n in range(1, 4)
+        ]
+        rejection = Rejection("r0", "u1", 10.1, 2.5)
+        history = History(calls, executions, rejections=[rejection])
+        assert "pause" in list_violations(history)
+        del history.executions[0]
+        assert "pause" not in list_violations(history)
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -51,6 +51,8 @@
     :param started_at: when the upstream began, in seconds.
     :param ended_at: when the execution ended or was cancelled, in seconds.
     :param body_bytes: length of the body that the upstream received.
+    :param incarnation: counts the starts of the upstream.
+    :param said_leaving: whether the response said that the upstream leaves.
     """
 
     request_id: str
@@ -60,6 +62,21 @@
     started_at: float
     ended_at: float = math.inf
     body_bytes: int = 0
+    incarnation: int = 0
+    said_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A request that an upstream rejected with a wish for a pause.
+
+    :param pause_seconds: time for which the upstream wants no request.
+    """
+
+    request_id: str
+    upstream: str
+    rejected_at: float
+    pause_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +104,8 @@
     :param shutdowns: graceful shutdowns by gateway.
     :param gateway_faults: when a gateway or its connections were disturbed, by gateway;
         the empty name stands for all gateways.
+    :param gateway_halts: when a gateway process was paused or killed, by gateway.
+    :param rejections: requests that were rejected with a wish for a pause.
     :param stopping_gateways: gateways that are in a graceful shutdown now.
     :param upstream_link_faults: when the connections to some upstream were disturbed.
     :param rate_limits: requests per second and burst by team.
@@ -106,6 +125,8 @@
     drained_upstreams: dict[str, float] = field(default_factory=dict)
     shutdowns: dict[str, list[Interval]] = field(default_factory=dict)
     gateway_faults: dict[str, list[Interval]] = field(default_factory=dict)
+    gateway_halts: dict[str, list[Interval]] = field(default_factory=dict)
+    rejections: list[Rejection] = field(default_factory=list)
     stopping_gateways: set[str] = field(default_factory=set)
     upstream_link_faults: list[Interval] = field(default_factory=list)
     rate_limits: dict[str, tuple[float, float]] = field(default_factory=dict)
@@ -125,6 +146,14 @@
             gateway, time, slack_seconds
         ) or self.is_directly_affected("", time, slack_seconds)
 
+    def was_halted(self, gateway: str, start: float, end: float) -> bool:
+        """Return whether a gateway process was paused, killed or stopped meanwhile."""
+        intervals = (
+            *self.gateway_halts.get(gateway, ()),
+            *self.shutdowns.get(gateway, ()),
+        )
+        return any(item.start <= end and start <= item.end for item in intervals)
+
     def is_directly_affected(
         self, gateway: str, time: float, slack_seconds: float
     ) -> bool:
--- a/libraries/soak/shallotspindle_soak/regressions.py
+++ b/libraries/soak/shallotspindle_soak/regressions.py
@@ -5,7 +5,9 @@
 from shallotspindle_soak.faults import Fault
 
 # Kinds of fault that were added after all of these seeds had failed.
-FAULTS_ADDED_LATER = frozenset({Fault.MALFORMED_ENTRIES})
+FAULTS_ADDED_LATER = frozenset(
+    {Fault.MALFORMED_ENTRIES, Fault.LEAVE, Fault.ASK_FOR_PAUSE}
+)
 # Kinds of fault that were added after seed 109 had failed.
 FAULTS_ADDED_AFTER_109 = FAULTS_ADDED_LATER | frozenset(
     {
--- a/libraries/soak/shallotspindle_soak/upstreams.py
+++ b/libraries/soak/shallotspindle_soak/upstreams.py
@@ -11,10 +11,11 @@
 
 from shallotspindle_core.clock import Clock
 from shallotspindle_gateway.records import HeaderNames
-from shallotspindle_soak.records import Execution, History
+from shallotspindle_soak.records import Execution, History, Rejection
 
 SERVICE_TIME_SECONDS = 0.03
 HANG_SECONDS = 30.0
+PAUSE_SECONDS = 2.5
 # Length of the response to a small request, in digests of 64 bytes.
 SMALL_RESPONSE_DIGESTS = 20
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -28,7 +29,8 @@
     """How an upstream responds.
 
     TRUNCATED_RESPONSE closes the connection after 100 bytes of the body.
-    WRONG_RESPONSE is the response to another request. SHED refuses without execution.
+    WRONG_RESPONSE is the response to another request. SHED refuses without execution,
+    and PAUSE asks for a pause with it.
     """
 
     NORMAL = "whole"
@@ -39,6 +41,7 @@
     SHED = "shed"
     ENDLESS_HEAD = "endless-head"
     ENDLESS_BODY = "endless-body"
+    PAUSE = "pause"
 
 
 ENDLESS_RESPONSE_START = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -67,6 +70,9 @@
     ) -> None:
         self.name = name
         self.mode = UpstreamMode.NORMAL
+        self.is_leaving = False
+        # Counts the starts; a restart keeps the name and the address.
+        self.incarnation = 0
         self.service_time_seconds = SERVICE_TIME_SECONDS
         self._header_names = header_names
         self._history = history
@@ -102,6 +108,8 @@
         self._request_count += 1
         # In a gray failure some requests still succeed: here, every fourth.
         mode = self.mode if self._request_count % 4 else UpstreamMode.NORMAL
+        if self.mode is UpstreamMode.PAUSE:
+            return self._reject_for_pause(request_id)
         if mode is UpstreamMode.SHED:
             headers = {header_names.request_id: request_id, header_names.not_run: "1"}
             return web.Response(status=503, headers=headers)
@@ -113,6 +121,18 @@
                 await self._send_endless_response(request, ENDLESS_CHUNKS[mode])
         return await self._respond(request, request_id, body, mode)
 
+    def _reject_for_pause(self, request_id: str) -> web.Response:
+        rejection = Rejection(
+            request_id, self.name, self._clock.boottime(), PAUSE_SECONDS
+        )
+        self._history.rejections.append(rejection)
+        headers = {
+            self._header_names.request_id: request_id,
+            self._header_names.not_run: "1",
+            "Retry-After": f"{PAUSE_SECONDS}",
+        }
+        return web.Response(status=503, headers=headers)
+
     @asynccontextmanager
     async def _record_execution(
         self, request: web.BaseRequest, request_id: str, body_bytes: int
@@ -121,7 +141,14 @@
         has_key = "Authorization" in request.headers
         now = self._clock.boottime()
         execution = Execution(
-            request_id, self.name, team, has_key, now, body_bytes=body_bytes
+            request_id,
+            self.name,
+            team,
+            has_key,
+            now,
+            body_bytes=body_bytes,
+            incarnation=self.incarnation,
+            said_leaving=self.is_leaving,
         )
         self._history.executions.append(execution)
         try:
@@ -137,6 +164,8 @@
             header_names.request_id: request_id,
             header_names.signature: self.name,
         }
+        if self.is_leaving:
+            headers[header_names.leaving] = "1"
         if mode is UpstreamMode.ERRORS:
             return web.Response(status=500, headers=headers)
         if mode is UpstreamMode.WRONG_RESPONSE:
