Split the choice of an upstream out of the entry daemon's balancer

Cause: assign had grown longer than a screen with the wait for pauses.

Change: the loop that queues a request and waits while all upstreams pause is a function of its own; a doc comment of the gateway's follower has its parts in order. No change of behaviour.

--- a/libraries/entry/shallotspindle_entry/balancing.py
+++ b/libraries/entry/shallotspindle_entry/balancing.py
@@ -216,8 +216,28 @@
             return RequestHeld(service, "the request crashed upstreams before")
         if not tried_upstreams:
             state.budget.count_request(now)
-        upstream = None
-        while upstream is None:
+        assignment = await self._acquire_upstream(
+            state, team, fingerprint, tried_upstreams, deadline
+        )
+        if isinstance(assignment, NoCapacity):
+            return assignment
+        if self._health_monitor.is_quarantined(fingerprint, self._clock.boottime()):
+            # The same request crashed another upstream while this one was queued.
+            self._release_slot(assignment.number)
+            return RequestHeld(service, "the request crashed upstreams before")
+        return assignment
+
+    async def _acquire_upstream(
+        self,
+        state: ServiceState,
+        team: TeamName,
+        fingerprint: int,
+        tried_upstreams: frozenset[UpstreamName],
+        deadline: float,
+    ) -> Assignment | NoCapacity:
+        """Queue a request until an upstream is assigned, also while all pause."""
+        service = state.service.name
+        while True:
             if not await self._wait_for_pauses(state, tried_upstreams, deadline):
                 wait_seconds = self._compute_wait(state, tried_upstreams)
                 message = "all upstreams want a pause"
@@ -227,15 +247,12 @@
                 number, team, fingerprint, tried_upstreams, deadline
             )
             upstream = await self._wait_for_upstream(state, request)
-            if upstream is None and not self._compute_wait(state, tried_upstreams):
+            if upstream is not None:
+                return Assignment(upstream, number)
+            if not self._compute_wait(state, tried_upstreams):
                 return NoCapacity(
                     service, "no upstream became available before the deadline"
                 )
-        if self._health_monitor.is_quarantined(fingerprint, self._clock.boottime()):
-            # The same request crashed another upstream while this one was queued.
-            self._release_slot(number)
-            return RequestHeld(service, "the request crashed upstreams before")
-        return Assignment(upstream, number)
 
     async def _wait_for_pauses(
         self,
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -312,10 +312,10 @@
     ) -> None:
         """Apply changes, unless later ones have arrived meanwhile.
 
-        :param source: address of the peer that sent them, for log lines.
-
         The changes start at the revision that was known when the request was sent. An
         outdated response would therefore revert changes that are known by now.
+
+        :param source: address of the peer that sent them, for log lines.
         """
         if changes.revision >= self._log.revision:
             events = tuple(
