Split the choice and the responses of peers out of the follower

Change: peer_roster.py ranks the members to ask, peer_responses.py asks one and reads what it sends; the follower owns the view and its tasks. The recorder of notices is called that. No change of behaviour.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -32,7 +32,7 @@
 from shallotspindle_gateway.slot_requester import SlotRequester
 from shallotspindle_gateway.stopping import StopPlan
 from shallotspindle_gateway.storage import Decoder, Store
-from shallotspindle_gateway.upstream_notices import NoticeBoard
+from shallotspindle_gateway.upstream_notices import NoticeRecorder
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LISTEN_BACKLOG = 1024
@@ -108,7 +108,7 @@
             random_source,
             self.errors,
         )
-        self.notices = NoticeBoard(self.follower, self.peers, clock)
+        self.notices = NoticeRecorder(self.follower, self.peers, clock)
         slot_requester = SlotRequester(
             own_instance,
             self.follower,
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -222,7 +222,7 @@
         await fleet.await_true(
             lambda: all(len(d.follower.members) == 3 for d in fleet.daemons)
         )
-        watchers = set(fleet.daemons[0].follower.rank_watchers())
+        watchers = set(fleet.daemons[0].follower.roster.rank_watchers())
         disconnected = [d for d in fleet.daemons if d.peers.address in watchers]
         others = [d for d in fleet.daemons if d.peers.address not in watchers]
         assert disconnected
@@ -243,7 +243,7 @@
         await fleet.await_true(
             lambda: all(len(d.follower.members) == 3 for d in fleet.daemons)
         )
-        watchers = fleet.daemons[0].follower.rank_watchers()
+        watchers = fleet.daemons[0].follower.roster.rank_watchers()
         (local,) = [d for d in fleet.daemons[:2] if d.peers.address in watchers]
         (other,) = [d for d in fleet.daemons[:2] if d.peers.address not in watchers]
         await local.peers.stop()
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -4,7 +4,7 @@
 watchers for changes and call the store only if no watcher is fresh. Peers are asked
 concurrently with calls to the store, so that a call without a response delays no
 change. An instance that got no response of the store for
-``MAX_STORE_RESPONSE_AGE_SECONDS`` is passed over at the next poll.
+``peer_responses.MAX_STORE_RESPONSE_AGE_SECONDS`` is passed over at the next poll.
 
 The view of the store is *confirmed* as of the sending of the call to the store, also if
 the response came through a peer. A request with a key needs a confirmation that is
@@ -12,21 +12,17 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Set
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from absl import logging
 from aiomisc import Service
 from expression import Result
 
-from shallotspindle_core import hashing
 from shallotspindle_core.clock import Clock
-from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.interface import StoreFailure
-from shallotspindle_gateway import stored_forms, transfers
+from shallotspindle_gateway import peer_responses, stored_forms, transfers
 from shallotspindle_gateway.changelog import ChangeLog, ViewFreshness
-from shallotspindle_gateway.election import rank_members
 from shallotspindle_gateway.messages import (
     ChangesOffer,
     ChangesRequest,
@@ -34,6 +30,8 @@
     PartRequest,
     ViewRequest,
 )
+from shallotspindle_gateway.peer_responses import ReceivedResponse
+from shallotspindle_gateway.peer_roster import PeerRoster
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import (
     EMPTY_CONFIGURATION,
@@ -53,10 +51,6 @@
 from shallotspindle_registry.directory import OUTAGE_GRACE_SECONDS, UpstreamDirectory
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
-# Each pending watch is a call to the store. If the watcher of a domain fails, watchers
-# of other domains replace it.
-WATCHERS_PER_DOMAIN = 1
-MAX_REMOTE_WATCHERS_ASKED = 2
 # A watch without changes and the delay after it must end before the peers consider the
 # watcher stale.
 WATCH_SECONDS = 0.8
@@ -69,17 +63,8 @@
 FULL_READ_INTERVAL_SECONDS = 10.0
 # How often a watcher is asked for changes.
 POLL_INTERVAL_SECONDS = 0.25
-RESPONSE_TIMEOUT_SECONDS = 0.1
-# Age of the last response of the store from which a watcher counts as stale. A change
-# must be active within two seconds, also if the watcher loses the store right after a
-# response.
-MAX_STORE_RESPONSE_AGE_SECONDS = 1.2
-MAX_PEERS_ASKED = 3
 # A peer that knows more changes than fit into a response is asked again at once.
 MAX_RESPONSES_PER_POLL = 100
-# Instances whose membership ended are still asked for this time. In an outage all
-# leases expire, also those of instances that keep serving and reach the store again.
-FORMER_MEMBER_TTL_SECONDS = 30.0
 # Replaces an infinite age in messages and logs.
 MAX_REPORTED_AGE_SECONDS = 9999.0
 EXPIRY_MARGIN_SECONDS = 0.1
@@ -94,44 +79,6 @@
 Listener = Callable[[], None]
 
 
-@dataclass(frozen=True, slots=True)
-class ReceivedResponse:
-    """A response of a peer that contains its changes.
-
-    :param sender: address of the peer.
-    :param sent_at: when the request was sent, as boot-time in seconds.
-    :param is_view: whether the events are all values of the store.
-    """
-
-    response: ChangesResponse
-    sender: str
-    sent_at: float
-    is_view: bool = False
-
-    def read_changes(self) -> Changes:
-        """Return the changes in the form of the store."""
-        events = tuple(
-            key if is_removed else StoredValue(key, value, revision)
-            for key, value, revision, is_removed in self.response.events
-        )
-        return Changes(events, self.response.revision)
-
-    def read_snapshot(self) -> Snapshot:
-        """Return all values in the form of the store."""
-        values = tuple(
-            event for event in self.read_changes().events if not isinstance(event, str)
-        )
-        return Snapshot(values, self.response.revision)
-
-
-def is_fresh(response: ChangesResponse) -> bool:
-    """Return whether a peer learns of changes soon enough to rely on it alone."""
-    return (
-        not response.is_store_failing
-        and response.store_response_age_seconds <= MAX_STORE_RESPONSE_AGE_SECONDS
-    )
-
-
 class StoreFollower(Service):
     """Owns the view of the store; others read it and are notified of changes.
 
@@ -173,8 +120,7 @@
         self.is_configuration_rejected = False
         self.upstreams = UpstreamDirectory()
         self.members: dict[str, Member] = {}
-        # Instances whose membership ended, with the boot-time of that in seconds.
-        self._former_members: dict[Member, float] = {}
+        self.roster = PeerRoster(own_instance, self.members, clock)
         self.partitions: dict[str, PartitionHolder | UnreadableHolder] = {}
         self._transfers = transfers.OutgoingTransfers()
         peers.register(ChangesRequest, self._handle_request)
@@ -234,22 +180,25 @@
             return
         self._must_watch.set()
         if self._is_store_unresponsive():
-            addresses = [*self._list_remote_watchers(), *self.list_peers_to_ask()]
+            addresses = [
+                *self.roster.list_remote_watchers(),
+                *self.roster.list_peers_to_ask(),
+            ]
             await self._poll_peers(addresses)
 
     async def _poll_watchers(self) -> bool:
         """Fetch changes from a watcher, unless this instance is one."""
-        watchers = self.rank_watchers()
+        watchers = self.roster.rank_watchers()
         if self._own_instance.address in watchers:
             return False
-        return await self._poll_peers([*watchers, *self._list_remote_watchers()])
+        return await self._poll_peers([*watchers, *self.roster.list_remote_watchers()])
 
     def _is_store_unresponsive(self) -> bool:
         """Return whether the store fails, or did not respond for too long."""
         response_age = self.compute_response_age(self._clock.boottime())
         return (
             self._failing_since is not None
-            or response_age > MAX_STORE_RESPONSE_AGE_SECONDS
+            or response_age > peer_responses.MAX_STORE_RESPONSE_AGE_SECONDS
         )
 
     # Calls to the store.
@@ -378,69 +327,6 @@
 
     # Requests to peers.
 
-    def rank_watchers(self, domain: FailureDomain | None = None) -> list[str]:
-        """Return the addresses of the instances that watch for a domain.
-
-        :param domain: the failure domain; None for that of this instance.
-        """
-        domain = domain or self._own_instance.domain
-        ranked = rank_members("watcher", self.list_members(domain))
-        return ranked[:WATCHERS_PER_DOMAIN]
-
-    def list_members(self, domain: FailureDomain) -> list[Member]:
-        """Return the instances of a domain, including this instance if it is in it."""
-        members = [m for m in self.members.values() if m.domain == domain]
-        if domain == self._own_instance.domain and self._own_instance not in members:
-            members.append(self._own_instance)
-        return members
-
-    def _list_remote_watchers(self) -> list[str]:
-        """Return watchers of other domains, in an order that differs by instance."""
-        domains = {m.domain for m in self.members.values()} - {
-            self._own_instance.domain
-        }
-        ranked = hashing.rank_rendezvous(
-            f"stand-in {self._own_instance.address}", domains
-        )
-        watchers = [
-            address for domain in ranked for address in self.rank_watchers(domain)
-        ]
-        return watchers[:MAX_REMOTE_WATCHERS_ASKED]
-
-    def list_peers_to_ask(self) -> list[str]:
-        """Return the instances to ask when the store does not respond."""
-        present = set(self.members.values()) - {self._own_instance}
-        former = self._list_former_members() - present
-        local, remote = self._rank_by_domain(present)
-        former_local, former_remote = self._rank_by_domain(former)
-        return [
-            *[*local, *former_local][: MAX_PEERS_ASKED - 1],
-            *[*remote, *former_remote][:1],
-        ]
-
-    def _rank_by_domain(self, members: Set[Member]) -> tuple[list[str], list[str]]:
-        """Return the addresses in this instance's domain and in other domains.
-
-        The order changes with time, so that different peers are asked.
-        """
-        local = {m.address for m in members if m.domain == self._own_instance.domain}
-        remote = {m.address for m in members} - local
-        seed = f"neighbour {self._own_instance.address} {self._clock.boottime():.1f}"
-        return (
-            hashing.rank_rendezvous(seed, local),
-            hashing.rank_rendezvous(seed, remote),
-        )
-
-    def _list_former_members(self) -> set[Member]:
-        """Return the instances whose membership ended recently."""
-        since = self._clock.boottime() - FORMER_MEMBER_TTL_SECONDS
-        self._former_members = {
-            m: ended_at
-            for m, ended_at in self._former_members.items()
-            if ended_at > since
-        }
-        return self._former_members.keys() - {self._own_instance}
-
     async def _poll_peers(self, addresses: list[str]) -> bool:
         """Fetch changes from peers until one is fresh; return whether one is.
 
@@ -449,7 +335,7 @@
         """
         for address in addresses:
             response = await self._follow_peer(address)
-            if response is not None and is_fresh(response):
+            if response is not None and peer_responses.is_fresh(response):
                 return True
         return False
 
@@ -484,19 +370,7 @@
     async def _ask_peer(
         self, address: str, request: ChangesRequest | ViewRequest
     ) -> ReceivedResponse | None:
-        """Send a request and fetch what the peer offers in place of a response."""
-        sent_at = self._clock.boottime()
-        response = await self._peers.request(address, request, RESPONSE_TIMEOUT_SECONDS)
-        if isinstance(response, ChangesResponse):
-            return ReceivedResponse(response, address, sent_at)
-        if not isinstance(response, ChangesOffer):
-            return None
-        fetched = await transfers.fetch_response(self._peers, address, response)
-        if fetched.is_error():
-            logging.warning("could not fetch changes from a peer: %s", fetched.error)
-            return None
-        is_view = response.since == 0
-        return ReceivedResponse(fetched.ok, address, sent_at, is_view)
+        return await peer_responses.ask_peer(self._peers, self._clock, address, request)
 
     def _apply_response(self, received: ReceivedResponse) -> None:
         response, sent_at = received.response, received.sent_at
@@ -578,7 +452,7 @@
     def _remove_member(self, key: str, now: float) -> None:
         member = self.members.pop(key, None)
         if member is not None:
-            self._former_members[member] = now
+            self.roster.record_departure(member, now)
 
     def _apply_announcement(self, stored: StoredValue, now: float) -> None:
         match self._decoder.decode_announcement(stored.key, stored.value):
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -11,10 +11,11 @@
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
-from shallotspindle_gateway import following
+from shallotspindle_gateway import following, peer_roster
 from shallotspindle_gateway.conftest import SERVICE, DocumentDecoder
-from shallotspindle_gateway.following import ReceivedResponse, StoreFollower
+from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.messages import ChangesRequest, ChangesResponse
+from shallotspindle_gateway.peer_responses import ReceivedResponse
 from shallotspindle_gateway.peers import RequestTimedOut
 from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.storage import Changes, Snapshot, StoredValue
@@ -172,17 +173,20 @@
         async with following_store(store, peers) as follower:
             for member in members[2:]:
                 follower._apply_removal(member.key, SystemClock().boottime())
-            assert set(follower.list_peers_to_ask()) == {"10.0.0.2:1", "10.0.0.3:1"}
+            assert set(follower.roster.list_peers_to_ask()) == {
+                "10.0.0.2:1",
+                "10.0.0.3:1",
+            }
 
     async def test_members_that_left_long_ago_are_forgotten(self, monkeypatch):
         # Guards against a list that grows with every former member.
-        monkeypatch.setattr(following, "FORMER_MEMBER_TTL_SECONDS", 0.1)
+        monkeypatch.setattr(peer_roster, "FORMER_MEMBER_TTL_SECONDS", 0.1)
         member = build_member(2)
         store = ScriptedStore((UPSTREAM, member))
         async with following_store(store, ScriptedPeers()) as follower:
             follower._apply_removal(member.key, SystemClock().boottime())
             await asyncio.sleep(0.2)
-            assert not follower.list_peers_to_ask()
+            assert not follower.roster.list_peers_to_ask()
 
 
 class TestOutages:
@@ -305,7 +309,9 @@
 
         peers = ScriptedPeers({"10.0.0.2:1": report_growing_response_age})
         async with following_store(store, peers) as follower:
-            monkeypatch.setattr(follower, "rank_watchers", lambda *_: ["10.0.0.2:1"])
+            monkeypatch.setattr(
+                follower.roster, "rank_watchers", lambda *_: ["10.0.0.2:1"]
+            )
             store.mode = "hang"
             peers.responders["10.0.0.3:1"] = report_removals(UPSTREAM.key)
             await await_true(
@@ -320,7 +326,7 @@
         failing = ChangesResponse(10, 0.1, 0.0, is_store_failing=True)
         peers = ScriptedPeers({"10.0.0.2:1": lambda _: failing})
         async with following_store(store, peers) as follower:
-            follower.rank_watchers = lambda domain=None: [
+            follower.roster.rank_watchers = lambda domain=None: [
                 "10.0.0.4:1" if domain == "b" else "10.0.0.2:1"
             ]
             calls = store.calls
@@ -352,7 +358,7 @@
 
         peers = ScriptedPeers({"10.0.0.2:1": report_one_change})
         async with following_store(store, peers) as follower:
-            follower.rank_watchers = lambda *_: ["10.0.0.2:1"]
+            follower.roster.rank_watchers = lambda *_: ["10.0.0.2:1"]
             await await_true(lambda: not has_upstream(follower), 1.0)
 
     async def test_peers_are_asked_until_one_is_fresh(self):
@@ -370,7 +376,7 @@
             }
         )
         async with following_store(store, peers) as follower:
-            follower.rank_watchers = lambda *_: [OWN_INSTANCE.address]
+            follower.roster.rank_watchers = lambda *_: [OWN_INSTANCE.address]
             store.mode = "refuse"
             await await_true(lambda: not has_upstream(follower), 2.5)
 
@@ -379,7 +385,7 @@
         store = ScriptedStore((UPSTREAM, build_member(2)))
         peers = ScriptedPeers({"10.0.0.2:1": report_no_changes(response_age=0.5)})
         async with following_store(store, peers) as follower:
-            follower.rank_watchers = lambda *_: ["10.0.0.2:1"]
+            follower.roster.rank_watchers = lambda *_: ["10.0.0.2:1"]
             await asyncio.sleep(following.WATCH_SECONDS + 0.5)
             calls = store.calls
             await asyncio.sleep(1.0)
--- a/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
+++ b/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
@@ -43,12 +43,12 @@
     async def test_the_store_is_followed_past_a_malformed_member(self, fleet, value):
         # Guards against one entry that hides all later changes from every instance.
         daemon = await start_gateway(fleet, "complete")
-        watcher_count = len(daemon.follower.rank_watchers())
+        watcher_count = len(daemon.follower.roster.rank_watchers())
         fleet.store.put("members/malformed", value)
         added = await fleet.add_upstream()
         await fleet.await_true(lambda: is_known(daemon, added))
         assert "members/malformed" not in daemon.follower.members
-        assert len(daemon.follower.rank_watchers()) == watcher_count
+        assert len(daemon.follower.roster.rank_watchers()) == watcher_count
         assert (await fleet.send(daemon))[0] == 200
 
     async def test_a_malformed_partition_gets_a_holder_again(
--- a/libraries/gateway/shallotspindle_gateway/renewals.py
+++ b/libraries/gateway/shallotspindle_gateway/renewals.py
@@ -38,7 +38,7 @@
         """Return the response of the first peer, or None if none responds in time."""
         response = asyncio.get_running_loop().create_future()
         self._pending[lease_id] = response
-        for address in self._follower.list_peers_to_ask()[:MAX_PEERS_ASKED]:
+        for address in self._follower.roster.list_peers_to_ask()[:MAX_PEERS_ASKED]:
             self._peers.send(address, RenewalRequest(lease_id))
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -18,7 +18,7 @@
 from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.pipeline import RequestTrace
 from shallotspindle_gateway.problems import Problem
-from shallotspindle_gateway.upstream_notices import NoticeBoard
+from shallotspindle_gateway.upstream_notices import NoticeRecorder
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
@@ -52,7 +52,7 @@
         follower: StoreFollower,
         clock: Clock,
         errors: UnexpectedErrors,
-        notices: NoticeBoard,
+        notices: NoticeRecorder,
         write: LineWriter | None = None,
     ) -> None:
         self._instance_name = instance_name
--- a/libraries/gateway/shallotspindle_gateway/slot_requester.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester.py
@@ -21,7 +21,7 @@
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.peers import PeerTransport, RequestTimedOut
 from shallotspindle_gateway.records import Member
-from shallotspindle_gateway.upstream_notices import NoticeBoard
+from shallotspindle_gateway.upstream_notices import NoticeRecorder
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -162,7 +162,7 @@
         peers: PeerTransport,
         clock: Clock,
         random: RandomSource,
-        notices: NoticeBoard,
+        notices: NoticeRecorder,
     ) -> None:
         self._notices = notices
         self._own_instance = own_instance
--- a/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
@@ -13,7 +13,7 @@
     SlotRequirements,
     choose_unpopulated_domain,
 )
-from shallotspindle_gateway.upstream_notices import NoticeBoard
+from shallotspindle_gateway.upstream_notices import NoticeRecorder
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -79,8 +79,8 @@
 
 def build_requester(follower, peers) -> SlotRequester:
     clock = SystemClock()
-    board = NoticeBoard(follower, peers, clock)
-    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(1), board)
+    notices = NoticeRecorder(follower, peers, clock)
+    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(1), notices)
 
 
 class TestAbandonedRequests:
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices.py
@@ -20,7 +20,7 @@
 MALFORMED_LOG_INTERVAL_SECONDS = 10.0
 
 
-class NoticeBoard:
+class NoticeRecorder:
     """Owns the notices of all upstreams."""
 
     def __init__(
