--- a/libraries/entry/shallotspindle_entry/balancing.py
+++ b/libraries/entry/shallotspindle_entry/balancing.py
@@ -44,6 +44,7 @@
 MAX_QUEUE_LENGTH = 512
 # After this time, an upstream that reported draining may have restarted.
 DRAINING_EXPIRY_SECONDS = 60.0
+PAUSE_LOG_INTERVAL_SECONDS = 0.1
 # With fewer usable upstreams, a retry could be left without a second choice.
 MIN_USABLE_UPSTREAMS = 3
 
@@ -309,8 +310,10 @@
         if is_news:
             logging.info("upstream %s says that it leaves", upstream.name)
         if notice.pause_seconds:
-            logging.info(
+            logging.log_every_n_seconds(
+                logging.INFO,
                 "upstream %s wants no requests for %.2f s",
+                PAUSE_LOG_INTERVAL_SECONDS,
                 upstream.name,
                 notice.pause_seconds,
             )
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices.py
@@ -12,6 +12,7 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import ServiceName, UpstreamName
 from shallotspindle_gateway.following import StoreFollower
+from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_lending.records import UpstreamLeaving
 from shallotspindle_notices.notices import Notice, Obstacle, UpstreamNotices
@@ -30,6 +31,7 @@
         self._peers = peers
         self._clock = clock
         self._notices = UpstreamNotices()
+        self._log_limiter = LogLimiter(clock)
 
     @property
     def counts(self) -> dict[str, int]:
@@ -46,7 +48,7 @@
                 MALFORMED_LOG_INTERVAL_SECONDS,
                 upstream[0],
             )
-        if notice.pause_seconds:
+        if notice.pause_seconds and self._log_limiter.take_line():
             logging.info(
                 "upstream %s wants no requests for %.2f s",
                 upstream[0],
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
@@ -12,6 +12,7 @@
     start_gateway,
 )
 from shallotspindle_lending.records import RefusalReason
+from shallotspindle_notices.notices import Notice
 
 pytestmark = pytest.mark.usefixtures("no_startup_delay")
 
@@ -159,6 +160,14 @@
         upstream.mode = "complete"
         assert (await fleet.send(second))[0] == 200
 
+    async def test_pauses_write_a_bounded_number_of_log_lines(self, fleet, caplog):
+        # Guards against an overloaded service that fills the log.
+        daemon = await start_gateway(fleet)
+        with caplog.at_level("INFO", "absl"):
+            for _ in range(5_000):
+                daemon.notices.record(("u0", 0), Notice(pause_seconds=0.1))
+        assert 0 < len(caplog.records) < 1_000
+
     async def test_the_log_line_names_what_was_passed_over(self, fleet, capsys):
         # Guards against refusals that nobody can explain.
         daemon = await start_gateway(fleet, "shed")
