Wait until a bundle is rejected in the test of invalid bundles

Change: the test waits for the rejection and then compares the version and the services, which are compared only after the rejection now.

--- a/libraries/entry/shallotspindle_entry/configuration_test.py
+++ b/libraries/entry/shallotspindle_entry/configuration_test.py
@@ -175,10 +175,9 @@
         task = await fleet(store, has_no_peers=True)
         await wait_for(lambda: task.is_ready)
         publish(store, bundle, signer)
-        await run_pending_callbacks()
+        await wait_for(lambda: task.is_bundle_rejected)
         assert task.current.bundle.version == 1
         assert task.current.bundle.services
-        assert task.is_bundle_rejected
         publish(store, build_next_bundle(replace(BUNDLE, version=2), 7.0))
         await wait_for(lambda: task.version == 3)
         assert not task.is_bundle_rejected
