Fetch only the changes that a peer was asked for

The revision in a peer's offer was used before it was compared with the request, so that an offer of changes that stated 0 was taken for all values and would have removed all other entries.

Change: an offer that does not begin where the request did is ignored with a warning, and only the response to a request for all values counts as such.

--- a/libraries/gateway/shallotspindle_gateway/peer_responses.py
+++ b/libraries/gateway/shallotspindle_gateway/peer_responses.py
@@ -73,9 +73,12 @@
         return ReceivedResponse(response, address, sent_at)
     if not isinstance(response, ChangesOffer):
         return None
+    is_view = isinstance(request, ViewRequest)
+    if response.since != (0 if is_view else request.revision):
+        logging.warning("ignored changes of a peer that were not asked for")
+        return None
     fetched = await transfers.fetch_response(peers, address, response)
     if fetched.is_error():
         logging.warning("could not fetch changes from a peer: %s", fetched.error)
         return None
-    is_view = response.since == 0
     return ReceivedResponse(fetched.ok, address, sent_at, is_view)
