Use one constant for the largest reported age and for Retry-After

Cause: both stood twice, in the follower and the reporter of the gateway, and in the headers of the entry daemon and the forwarder of the gateway.

Change: the second place imports the first. No change of behaviour.

Result: 19 tests of the reporter and the notices pass, linters are clean.

--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -16,6 +16,7 @@
 from multidict import CIMultiDict
 
 from shallotspindle_core.clock import Clock
+from shallotspindle_entry.headers import RETRY_AFTER
 from shallotspindle_entry.response_limits import (
     ResponseFault,
     ResponseLimits,
@@ -42,7 +43,6 @@
 SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 BAD_REQUEST = 400
-RETRY_AFTER = "Retry-After"
 NOT_RUN_STATUSES = frozenset(
     {BAD_REQUEST, TOO_MANY_REQUESTS, SERVER_ERROR, SERVICE_UNAVAILABLE}
 )
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -13,7 +13,10 @@
 
 from shallotspindle_core.clock import Clock
 from shallotspindle_gateway.execution import AttemptRecord
-from shallotspindle_gateway.following import StoreFollower
+from shallotspindle_gateway.following import (
+    MAX_REPORTED_AGE_SECONDS,
+    StoreFollower,
+)
 from shallotspindle_gateway.forwarding import UpstreamResponse
 from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.pipeline import RequestTrace
@@ -22,8 +25,6 @@
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
-# Stands for an infinite age in metrics and logs.
-MAX_AGE_SECONDS = 9999.0
 # More upstreams that were passed over make the line of a request too long.
 MAX_PASSED_OVER = 8
 LineWriter = Callable[[str], object]
@@ -135,7 +136,7 @@
             "passed_over": list(trace.passed_over.items())[:MAX_PASSED_OVER],
             "version": trace.config_version,
             "confirmed_before": round(
-                min(trace.config_age_seconds, MAX_AGE_SECONDS), 3
+                min(trace.config_age_seconds, MAX_REPORTED_AGE_SECONDS), 3
             ),
             "sends": [describe_attempt(attempt) for attempt in trace.attempts],
         }
@@ -168,9 +169,13 @@
         follower = self.follower
         return {
             "version": follower.configuration.bundle.version,
-            "age": min(MAX_AGE_SECONDS, follower.compute_confirmation_age(now)),
+            "age": min(
+                MAX_REPORTED_AGE_SECONDS, follower.compute_confirmation_age(now)
+            ),
             "rejected": int(follower.is_configuration_rejected),
             "revision": follower.revision,
-            "store_age": min(MAX_AGE_SECONDS, follower.compute_response_age(now)),
+            "store_age": min(
+                MAX_REPORTED_AGE_SECONDS, follower.compute_response_age(now)
+            ),
             "lines_left_out": self._log_limiter.dropped_lines,
         }
