--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import common
+
 from shallotspindle_gateway.election import rank_lenders
 from shallotspindle_gateway.records import Member
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -45,7 +45,9 @@
         await self._open.wait()
         with contextlib.suppress(OSError):
             near = await asyncio.open_connection(self._host, self._port)
-            await asyncio.gather(self._copy(reader, near[1]), self._copy(near[0], writer))
+            await asyncio.gather(
+                self._copy(reader, near[1]), self._copy(near[0], writer)
+            )
 
     async def _copy(self, reader, writer) -> None:
         with contextlib.suppress(OSError):
