--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,8 +17,8 @@
 # The watcher reads all values every 10 s.
 FULL_READ_SECONDS = 14.0
 WATCH_OVER_SECONDS = 20.0
-# Tenants with one key each, which is as long as a signed token: 0.9 MB of the 1 MB that a
-# value may have.
+# Tenants with one key each, which is as long as a signed token: 0.9 MB of the 1 MB that
+# a value may have.
 TENANTS, KEY_CHARACTERS = 3_000, 240
 PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 
