--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import sys
 from pathlib import Path
 
@@ -12,8 +13,8 @@
 CUT_SECONDS = 6.5
 REVOKE_SECONDS = 5.0
 # One client whose key was withdrawn keeps asking on this many connections.
-CONNECTIONS = 6
-PAUSE_SECONDS = 0.01
+CONNECTIONS = 12
+MAX_PAUSE_SECONDS = 0.02
 PLAY_SECONDS = 8.0
 
 
@@ -81,7 +82,7 @@
     gateway = fleet.gateways[0]
     while fleet.record.now() < until:
         await fleet.client.send(gateway, "/orders/1", "old-key", deadline_ms=1000)
-        await asyncio.sleep(PAUSE_SECONDS)
+        await asyncio.sleep(random.uniform(0, MAX_PAUSE_SECONDS))
 
 
 async def play(fleet: common.Fleet) -> int:
