Run the review's scripts with more gateways and end what they start

Cause: a busy watcher can make a peer read the store itself, and a script that was stopped left its gateways running. Change: five gateways in case 2, a handler of SIGTERM, no logs left behind.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
 WATCH_OVER_SECONDS = 20.0
 # Tenants with one key each, which is as long as a signed token: 0.9 MB of the 1 MB that
 # a value may have.
-TENANTS, KEY_CHARACTERS = 3_000, 240
+TENANTS, KEY_CHARACTERS = 1_600, 500
 PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 
 
@@ -90,7 +90,7 @@
     fleet.configure(1, build_configuration(["old-key", "new-key"]))
     size = len(fleet.store._items["op/config"].value)
     await fleet.add_endpoint("ledger-1", "ledger", "zone-a", slots=8)
-    if not await fleet.start_gateways(["zone-a"] * 3):
+    if not await fleet.start_gateways(["zone-a"] * 5):
         return 2
     await asyncio.sleep(4.0)
     # The operator takes the key away. The order of events that does harm is that the
--- a/review/common.py
+++ b/review/common.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -396,7 +397,10 @@
 
 
 class Fleet:
-    """Owns the store, the endpoints and the gateway processes of a case."""
+    """Owns the store, the endpoints and the gateway processes of a case.
+
+    The logs of the gateways go to a temporary folder, which stays with KEEP_LOGS=1.
+    """
 
     def __init__(self, folder: Path, store: type[StoreStandin]) -> None:
         self.folder = folder
@@ -462,6 +466,8 @@
         for endpoint in self.endpoints:
             await endpoint.stop()
         await self.store.stop()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.temporary, ignore_errors=True)
 
 
 def has_trouble() -> bool:
@@ -486,6 +492,8 @@
             await fleet.stop()
         return result
 
+    # A script that is stopped still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(asyncio.run(run()))
 
 
