Share the paged store of case 2 and find free addresses

Cause: case 3 needs the pages of the store, too, and addresses were taken from the process id without a look at their ports. Change: the paged stand-in moves to common.py, ports are tried first, runs have the time of their arrival; no other change of cases 1 and 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,15 +4,10 @@
 import sys
 from pathlib import Path
 
-from aiohttp import web
-
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import common
 
-from shallotspindle_environment.clock import SystemClock
-from shallotspindle_standin.store import PATH_PREFIX, StoreStandin
-
 REVOKE_SECONDS = 5.0
 # The watcher reads all values every 10 s.
 FULL_READ_SECONDS = 14.0
@@ -20,43 +15,6 @@
 # Tenants with one key each, which is as long as a signed token: 0.9 MB of the 1 MB that
 # a value may have.
 TENANTS, KEY_CHARACTERS = 1_600, 500
-PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
-
-
-class PagedStore(StoreStandin):
-    """The project's stand-in with the pages of PROTOCOL.md.
-
-    A range returns at most 500 items or 1 MB; the next page begins after a key.
-    """
-
-    def __init__(self, clock: SystemClock) -> None:
-        super().__init__(clock)
-        self.first_page_of_full_read = asyncio.Event()
-
-    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle one request; a range is answered page by page."""
-        if request.path != f"{PATH_PREFIX}range":
-            return await super().serve(request)
-        await asyncio.sleep(self.faults.delay_seconds)
-        after = request.query.get("after", "")
-        items, size = [], 0
-        keys = sorted(key for key in self._items if key > after)
-        for key in keys:
-            item = self._items[key].encode()
-            if items and (
-                len(items) >= PAGE_ITEMS or size + len(item["value"]) > PAGE_BYTES
-            ):
-                break
-            items.append(item)
-            size += len(item["value"])
-        body = {
-            "items": items,
-            "truncated": len(items) < len(keys),
-            "currentRev": self.revision,
-        }
-        if not after:
-            self.first_page_of_full_read.set()
-        return web.json_response(body)
 
 
 def build_configuration(keys: list[str]) -> dict:
@@ -70,14 +28,7 @@
         "targetLatency": "500ms",
         "maxAttempts": 2,
     }
-    others = {
-        f"tenant-{n:06d}": {
-            "apiKeys": [f"key-{n:06d}-".ljust(KEY_CHARACTERS, "x")],
-            "ratePerS": 5,
-            "burst": 5,
-        }
-        for n in range(TENANTS)
-    }
+    others = common.build_other_tenants(TENANTS, KEY_CHARACTERS)
     return {
         "routes": {"orders": route},
         "services": {"ledger": {"healthPath": "/health"}},
@@ -122,4 +73,4 @@
     return 1 if late else 0
 
 
-common.run_case(play, Path(__file__).resolve().parent, PagedStore)
+common.run_case(play, Path(__file__).resolve().parent, common.PagedStore)
--- a/review/common.py
+++ b/review/common.py
@@ -23,14 +23,17 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from aiohttp import web
+
 from shallotspindle_environment.clock import SystemClock
-from shallotspindle_standin.store import StoreStandin
+from shallotspindle_standin.store import PATH_PREFIX, StoreStandin
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "review.example"
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8689, 8687, 8683
 # An answer of the store takes 4 ms (SYSTEM.md).
 STORE_ANSWER_SECONDS = 0.004
+PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 BOUNDS = {
     "seedLag": "3s",
     "reuseAfter": "2s",
@@ -77,9 +80,10 @@
 
 @dataclass
 class Run:
-    """A request that an endpoint began to work on."""
+    """A request that an endpoint began to work on, with the time of its arrival."""
 
     at: float
+    arrived_at: float
     endpoint: str
     service: str
     request_id: str
@@ -170,6 +174,7 @@
             k.strip().lower(): v.strip()
             for k, _, v in (line.partition(":") for line in head[1:] if line)
         }
+        arrived_at = self.record.now()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("shallotspindle-request-id", "")
         if headers.get("shallotspindle-target-instance", self.name) != self.name:
@@ -181,11 +186,15 @@
         # Most endpoints drop a request when its connection closes.
         closed = asyncio.create_task(reader.read(1))
         try:
-            await self._run(writer, headers, request_id, path, len(body), closed)
+            await self._run(
+                writer, headers, request_id, path, len(body), closed, arrived_at
+            )
         finally:
             closed.cancel()
 
-    async def _run(self, writer, headers, request_id, path, size, closed) -> None:
+    async def _run(
+        self, writer, headers, request_id, path, size, closed, arrived_at
+    ) -> None:
         free = self._free
         self._waiting += 1
         async with free:
@@ -196,7 +205,14 @@
         self._running += 1
         try:
             self.runs.append(
-                Run(self.record.now(), self.name, self.service, request_id, path)
+                Run(
+                    self.record.now(),
+                    arrived_at,
+                    self.name,
+                    self.service,
+                    request_id,
+                    path,
+                )
             )
             self.record.write(
                 "run",
@@ -401,6 +417,64 @@
         return answer
 
 
+def find_free_network() -> str:
+    """Return the first three parts of loopback addresses whose ports are free."""
+    while True:
+        network = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
+        with contextlib.suppress(OSError):
+            for port in (FRONT_PORT, READY_PORT, CONTROL_PORT, 7360, 9464):
+                socket.create_server((f"{network}.1", port)).close()
+            return network
+
+
+class PagedStore(StoreStandin):
+    """The project's stand-in with the pages of PROTOCOL.md.
+
+    A range returns at most 500 items or 1 MB; the next page begins after a key.
+    """
+
+    def __init__(self, clock: SystemClock) -> None:
+        super().__init__(clock)
+        self.first_page_of_full_read = asyncio.Event()
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Handle one request; a range is answered page by page."""
+        if request.path != f"{PATH_PREFIX}range":
+            return await super().serve(request)
+        await asyncio.sleep(self.faults.delay_seconds)
+        after = request.query.get("after", "")
+        items, size = [], 0
+        keys = sorted(key for key in self._items if key > after)
+        for key in keys:
+            item = self._items[key].encode()
+            if items and (
+                len(items) >= PAGE_ITEMS or size + len(item["value"]) > PAGE_BYTES
+            ):
+                break
+            items.append(item)
+            size += len(item["value"])
+        body = {
+            "items": items,
+            "truncated": len(items) < len(keys),
+            "currentRev": self.revision,
+        }
+        if not after:
+            self.first_page_of_full_read.set()
+        return web.json_response(body)
+
+
+def build_other_tenants(count: int, key_characters: int) -> dict:
+    """Return tenants with one long key each, for a configuration of a real size."""
+    return {
+        f"tenant-{n:06d}": {
+            "apiKeys": [f"key-{n:06d}-".ljust(key_characters, "x")],
+            "ratePerS": 5,
+            "burst": 5,
+        }
+        for n in range(count)
+    }
+
+
 class Fleet:
     """Owns the store, the endpoints and the gateway processes of a case.
 
@@ -417,8 +491,7 @@
         self.gateways: list[Gateway] = []
         self.client = Client(self.record)
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
-        pid = os.getpid()
-        self._network = f"127.{100 + pid % 100}.{pid // 100 % 250}"
+        self._network = find_free_network()
         self.store_address = ""
 
     async def start_store(self) -> None:
@@ -500,9 +573,3 @@
     # A script that is stopped still ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(asyncio.run(run()))
-
-
-def free_port() -> int:
-    """Return a free port on the loopback interface."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
