Match slot grants with the process that asked for them

Requests for one service ran at upstreams of another after a gateway was killed and restarted.

Cause: slot requests were numbered from 1 in each process, and a grant was matched by its number alone. A lender that had queued slot requests of the killed process sent their grants to the address of its successor, which took them for its own requests with the same numbers.

Change: each process begins its numbers at a random one of 2^63, and takes a decision only from the lender that it asked. The wire form stays the same; an old lender repeats whatever number it got.

--- a/libraries/gateway/shallotspindle_gateway/slot_requester.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import itertools
 from collections.abc import Mapping, Set
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -17,6 +16,7 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway import request_numbers
 from shallotspindle_gateway.election import rank_lenders, rank_substitute_lenders
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.peers import PeerTransport, RequestTimedOut
@@ -125,6 +125,17 @@
 LenderDecision = SlotGrant | SlotRefusal
 
 
+@dataclass(frozen=True, slots=True)
+class PendingDecision:
+    """A slot request whose lender has not decided yet.
+
+    :param lender: address of the lender.
+    """
+
+    lender: str
+    decision: asyncio.Future[LenderDecision]
+
+
 def choose_unpopulated_domain(
     upstream_counts: Mapping[FailureDomain, int],
     own_domain: FailureDomain,
@@ -170,17 +181,19 @@
         self._peers = peers
         self._clock = clock
         self._random = random
-        self._request_numbers = itertools.count(1)
-        self._decisions: dict[int, asyncio.Future] = {}
+        self._request_numbers = request_numbers.count_from_random(random)
+        self._pending_decisions: dict[int, PendingDecision] = {}
         self._backoffs: dict[str, LenderBackoff] = {}
         self._lost_until: dict[FailureDomain, float] = {}
         peers.register(SlotGrant, self._handle_decision)
         peers.register(SlotRefusal, self._handle_decision)
 
     def _handle_decision(self, sender: str, decision: LenderDecision) -> None:
-        waiting = self._decisions.get(decision.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(decision)
+        pending = self._pending_decisions.get(decision.number)
+        if pending is None or pending.lender != sender:
+            return
+        if not pending.decision.done():
+            pending.decision.set_result(decision)
 
     async def acquire_slot(
         self, requirements: SlotRequirements
@@ -448,14 +461,14 @@
         """
         request = self._build_request(domain, requirements, wait_seconds)
         decision = asyncio.get_running_loop().create_future()
-        self._decisions[request.number] = decision
+        self._pending_decisions[request.number] = PendingDecision(lender, decision)
         response: Any = None
         try:
             response = await self._send_request(lender, request)
             if isinstance(response, SlotQueued):
                 response = await self._await_decision(lender, request, decision)
         finally:
-            del self._decisions[request.number]
+            del self._pending_decisions[request.number]
             if not isinstance(response, SlotGrant | SlotRefusal):
                 # Returns the slot if the lender has granted one meanwhile.
                 self._return(lender, request, UpstreamName(""), Outcome.CANCELLED, 0.0)
--- a/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
@@ -77,10 +77,10 @@
     )
 
 
-def build_requester(follower, peers) -> SlotRequester:
+def build_requester(follower, peers, seed: int = 1) -> SlotRequester:
     clock = SystemClock()
     notices = NoticeRecorder(follower, peers, clock)
-    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(1), notices)
+    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(seed), notices)
 
 
 class TestAbandonedRequests:
@@ -174,6 +174,60 @@
         assert (last.domain, last.outcome) == (A, Outcome.CANCELLED)
 
 
+@dataclass
+class RecordingLender(SlowLender):
+    """Peers whose lender queues all slot requests and records them."""
+
+    requests: list = field(default_factory=list)
+    handlers: dict = field(default_factory=dict)
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    async def request(self, address, message, timeout):
+        self.requests.append(message)
+        return SlotQueued(message.number)
+
+    def grant(self, number: int, sender: str) -> None:
+        grant = SlotGrant(number, UpstreamName("u1"), "10.9.0.1:80", 0.5)
+        self.handlers[SlotGrant](sender, grant)
+
+
+class TestForeignGrants:
+    # Guards against a request that is sent to an upstream of another service, which
+    # runs it: a grant for another slot request was taken for its own.
+
+    @staticmethod
+    async def queue_request(peers, seed: int = 1) -> asyncio.Task:
+        slot_requester = build_requester(FakeFollower(LENDER), peers, seed)
+        acquiring = asyncio.create_task(
+            slot_requester.acquire_slot(build_requirements(0.3))
+        )
+        while not peers.requests:
+            await asyncio.sleep(0)
+        return acquiring
+
+    async def test_a_grant_for_the_former_process_at_this_address_is_ignored(self):
+        former, present = RecordingLender(), RecordingLender()
+        killed = await self.queue_request(former, seed=1)
+        acquiring = await self.queue_request(present, seed=2)
+        killed.cancel()
+        present.grant(former.requests[0].number, LENDER.address)
+        assert isinstance(await acquiring, SlotRefusal)
+
+    async def test_a_grant_of_a_lender_that_was_not_asked_is_ignored(self):
+        peers = RecordingLender()
+        acquiring = await self.queue_request(peers)
+        peers.grant(peers.requests[0].number, REMOTE_LENDER.address)
+        assert isinstance(await acquiring, SlotRefusal)
+
+    async def test_the_grant_of_the_lender_is_used(self):
+        peers = RecordingLender()
+        acquiring = await self.queue_request(peers)
+        peers.grant(peers.requests[0].number, LENDER.address)
+        assert isinstance(await acquiring, AcquiredSlot)
+
+
 @dataclass
 class OutdatedLender(SlowLender):
     """Peers whose lender grants its first upstream that is not excluded."""
