Match responses of peers with the process and the peer that was asked

A response that comes late, from a peer that was frozen, could be taken by the next process at the address for a token, a slot or changes of the store that it had asked another peer for.

Change: numbers begin at a random one for each process, and only the peer that was asked can respond. A response that cannot be decoded is logged, as other messages are. The wire form stays the same.

Measured: both tests of TestForeignResponses failed with the former numbers and check, and pass now.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -83,7 +83,10 @@
         readiness = create_listener(settings.readiness)
         metrics = create_listener(settings.metrics)
         self.peers = PeerTransport(
-            create_datagram_socket(settings.peers), messages.MESSAGE_TYPES, self.errors
+            create_datagram_socket(settings.peers),
+            messages.MESSAGE_TYPES,
+            random_source,
+            self.errors,
         )
         own_instance = Member(self.peers.address, settings.domain, settings.capacity)
         self.follower = StoreFollower(
--- a/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
+++ b/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Iterator
 from contextlib import contextmanager
+from random import Random
 
 import pytest
 
@@ -141,7 +142,7 @@
 def create_transport(errors: UnexpectedErrors) -> Iterator[PeerTransport]:
     """Return the transport of one instance on loopback."""
     with create_datagram_socket(Endpoint("127.0.0.1", 0)) as listener:
-        yield PeerTransport(listener, [TokenRequest], errors)
+        yield PeerTransport(listener, [TokenRequest], Random(1), errors)
 
 
 class TestPeerTransport:
--- a/libraries/gateway/shallotspindle_gateway/peers.py
+++ b/libraries/gateway/shallotspindle_gateway/peers.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-import itertools
 import socket
 import zlib
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -18,6 +18,8 @@
 from shallotspindle_core import addresses
 from shallotspindle_core.addresses import SocketAddress
 from shallotspindle_core.failures import Failure
+from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway import request_numbers
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 from shallotspindle_wire.codec import Codec
 from shallotspindle_wire.envelopes import Ask, Reply, Tell
@@ -66,6 +68,17 @@
     """A peer did not respond in time; the request may have arrived."""
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRequest:
+    """A request that has no response yet.
+
+    :param peer: address of the peer that it was sent to.
+    """
+
+    peer: str
+    response: asyncio.Future[Any]
+
+
 class DatagramReceiver(asyncio.DatagramProtocol):
     """Passes datagrams to the task that owns the socket."""
 
@@ -85,6 +98,7 @@
 
     :param listener: bound datagram socket.
     :param message_types: all messages that other tasks send or respond with.
+    :param random: must differ from process to process.
     :param errors: counts unexpected errors. A datagram whose handler fails must not
         keep the other datagrams from being handled.
     """
@@ -93,6 +107,7 @@
         self,
         listener: socket.socket,
         message_types: Iterable[type],
+        random: RandomSource,
         errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
@@ -102,8 +117,8 @@
         self._envelope_codec = Codec((Ask, Reply, Tell))
         self._message_codec = Codec(message_types)
         self._handlers: dict[type, MessageHandler] = {}
-        self._pending: dict[int, asyncio.Future] = {}
-        self._request_numbers = itertools.count(1)
+        self._pending: dict[int, PendingRequest] = {}
+        self._request_numbers = request_numbers.count_from_random(random)
         self._transport: asyncio.DatagramTransport | None = None
         host, port = listener.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -156,7 +171,7 @@
             )
         number = next(self._request_numbers)
         response = asyncio.get_running_loop().create_future()
-        self._pending[number] = response
+        self._pending[number] = PendingRequest(address, response)
         ask = Ask(number, self._message_codec.encode(message))
         try:
             return await self._send_until_response(address, ask, response, timeout)
@@ -207,7 +222,7 @@
         sender = f"{sender_address[0]}:{sender_address[1]}"
         match decoded.ok:
             case Reply(number=number, body=body):
-                self._resolve(number, body)
+                self._resolve(sender, number, body)
             case Ask(number=number, body=body):
                 response = self._handle(sender, body)
                 if response is not None:
@@ -217,12 +232,15 @@
             case Tell(body=body):
                 self._handle(sender, body)
 
-    def _resolve(self, number: int, body: bytes) -> None:
-        response = self._pending.get(number)
+    def _resolve(self, sender: str, number: int, body: bytes) -> None:
+        pending = self._pending.get(number)
+        if pending is None or pending.peer != sender or pending.response.done():
+            return
         message = self._message_codec.decode(body)
-        if response is None or response.done() or message.is_error():
+        if message.is_error():
+            logging.warning("ignored an invalid response: %s", message.error)
             return
-        response.set_result(message.ok)
+        pending.response.set_result(message.ok)
 
     def _handle(self, sender: str, body: bytes) -> Any:
         message = self._message_codec.decode(body)
--- a/libraries/gateway/shallotspindle_gateway/peers_test.py
+++ b/libraries/gateway/shallotspindle_gateway/peers_test.py
@@ -1,13 +1,16 @@
+import asyncio
 import random
 
 import pytest
 
 from shallotspindle_gateway import peers
 from shallotspindle_gateway.daemon import create_datagram_socket
-from shallotspindle_gateway.messages import Part
+from shallotspindle_gateway.messages import Part, TokenDenial, TokenGrant, TokenRequest
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Endpoint
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
+from shallotspindle_wire.codec import Codec
+from shallotspindle_wire.envelopes import Ask, Reply
 
 
 class TestCompression:
@@ -49,7 +52,9 @@
         transports = []
         for _ in range(2):
             listener = create_datagram_socket(Endpoint("127.0.0.1", 0))
-            transports.append(PeerTransport(listener, [Part], UnexpectedErrors()))
+            transports.append(
+                PeerTransport(listener, [Part], random.Random(1), UnexpectedErrors())
+            )
         sender, receiver = transports
         receiver.register(Part, lambda _, message: received.append(message))
         for transport in transports:
@@ -60,3 +65,64 @@
         assert message in received or not fits
         for transport in transports:
             await transport.stop()
+
+
+class Requester:
+    """One process at an address, and a peer that is played by the test."""
+
+    MESSAGE_TYPES = (TokenRequest, TokenGrant, TokenDenial)
+    REQUEST = TokenRequest("t", 1.0)
+
+    def __init__(self, seed: int) -> None:
+        self._listener = create_datagram_socket(Endpoint("127.0.0.1", 0))
+        self._peer = create_datagram_socket(Endpoint("127.0.0.1", 0))
+        self._peer.settimeout(5)
+        errors = UnexpectedErrors()
+        self.transport = PeerTransport(
+            self._listener, self.MESSAGE_TYPES, random.Random(seed), errors
+        )
+        self.peer_address = self._peer.getsockname()
+
+    async def request(self) -> tuple[int, asyncio.Task]:
+        """Send a request and return its number and its task."""
+        await self.transport.start()
+        host, port = self.peer_address
+        task = asyncio.create_task(
+            self.transport.request(f"{host}:{port}", self.REQUEST, 0.3)
+        )
+        data = await asyncio.to_thread(self._peer.recv, 1024)
+        ask = Codec([Ask]).decode(data).ok
+        return ask.number, task
+
+    def respond(self, number: int, message, sender: tuple[str, int]) -> None:
+        """Let a response arrive."""
+        body = Codec(self.MESSAGE_TYPES).encode(message)
+        self.transport._receive(Codec([Reply]).encode(Reply(number, body)), sender)
+
+    async def close(self) -> None:
+        await self.transport.stop()
+        self._peer.close()
+
+
+class TestForeignResponses:
+    # Guards against a response to another request that is taken for its own, such as a
+    # token or changes that a peer sent late to the former process at this address.
+
+    async def test_a_response_to_the_former_process_at_this_address_is_ignored(self):
+        former, present = Requester(seed=1), Requester(seed=2)
+        number, killed = await former.request()
+        killed.cancel()
+        own_number, waiting = await present.request()
+        present.respond(number, TokenGrant(0.0), present.peer_address)
+        present.respond(own_number, TokenDenial(1.0), present.peer_address)
+        assert await waiting == TokenDenial(1.0)
+        await former.close()
+        await present.close()
+
+    async def test_a_response_of_a_peer_that_was_not_asked_is_ignored(self):
+        requester = Requester(seed=1)
+        number, waiting = await requester.request()
+        requester.respond(number, TokenGrant(0.0), ("127.0.0.1", 9))
+        requester.respond(number, TokenDenial(1.0), requester.peer_address)
+        assert await waiting == TokenDenial(1.0)
+        await requester.close()
