Count a lease from the request whose renewal a peer confirmed

The late response to an earlier request was taken for that to the present one, and the lease counted from the sending of the later request: longer than it lasts at the store, so that two instances could act on one partition of the rate limits. Not seen by callers; found by looking for the class.

Change: renewals have a number that the response repeats.

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -92,7 +92,7 @@
         self.follower = StoreFollower(
             own_instance, store, decoder, self.peers, clock, self.errors
         )
-        renewals = PeerRenewals(store, self.follower, self.peers)
+        renewals = PeerRenewals(store, self.follower, self.peers, random_source)
         self.ownership = PartitionOwnership(
             own_instance,
             secrets.token_hex(8),
--- a/libraries/gateway/shallotspindle_gateway/messages.py
+++ b/libraries/gateway/shallotspindle_gateway/messages.py
@@ -157,11 +157,13 @@
     """Asks a peer to renew the lease of an instance that the store rejects.
 
     :param lease_id: the lease at the store.
+    :param number: unique for the requester; the response has the same number.
     """
 
     KIND: ClassVar[str] = "renewalasked"
 
     lease_id: Revision
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +171,14 @@
     """The store's response to the renewal of a peer's lease.
 
     :param lease_id: the lease at the store.
+    :param number: number of the request; 0 from releases up to e96edb3.
     """
 
     KIND: ClassVar[str] = "renewaltold"
 
     lease_id: Revision
     has_ended: bool
+    number: int = 0
 
 
 MESSAGE_TYPES = (
--- a/libraries/gateway/shallotspindle_gateway/renewals.py
+++ b/libraries/gateway/shallotspindle_gateway/renewals.py
@@ -7,10 +7,13 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 from absl import logging
 from expression import Result
 
+from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway import request_numbers
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.messages import RenewalRequest, RenewalResponse
 from shallotspindle_gateway.peers import PeerTransport
@@ -20,52 +23,83 @@
 MAX_PEERS_ASKED = 2
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRenewal:
+    """A renewal that no peer has responded to."""
+
+    number: int
+    lease_id: int
+    response: asyncio.Future[RenewalResponse]
+
+    def matches(self, response: RenewalResponse) -> bool:
+        """Return whether a response belongs to this request.
+
+        The response to an earlier request tells of an earlier renewal, which does not
+        extend the lease as far. Releases up to e96edb3 do not tell the number.
+        """
+        return (
+            response.lease_id == self.lease_id
+            and response.number in (self.number, 0)
+            and not self.response.done()
+        )
+
+
 class PeerRenewals:
-    """Asks peers to renew this instance's lease, and renews those of peers."""
+    """Asks peers to renew this instance's lease, and renews those of peers.
+
+    :param random: must differ from process to process.
+    """
 
     def __init__(
-        self, store: Store, follower: StoreFollower, peers: PeerTransport
+        self,
+        store: Store,
+        follower: StoreFollower,
+        peers: PeerTransport,
+        random: RandomSource,
     ) -> None:
         self._store = store
         self._follower = follower
         self._peers = peers
-        self._pending: dict[int, asyncio.Future[RenewalResponse]] = {}
+        self._request_numbers = request_numbers.count_from_random(random)
+        # The only task that asks waits for a response before it asks again.
+        self._pending: PendingRenewal | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         peers.register(RenewalRequest, self._handle_request)
         peers.register(RenewalResponse, self._handle_response)
 
     async def request_renewal(self, lease_id: int) -> RenewalResponse | None:
         """Return the response of the first peer, or None if none responds in time."""
+        number = next(self._request_numbers)
         response = asyncio.get_running_loop().create_future()
-        self._pending[lease_id] = response
+        self._pending = PendingRenewal(number, lease_id, response)
         for address in self._follower.roster.list_peers_to_ask()[:MAX_PEERS_ASKED]:
-            self._peers.send(address, RenewalRequest(lease_id))
+            self._peers.send(address, RenewalRequest(lease_id, number))
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
                 return await response
         except TimeoutError:
             return None
         finally:
-            del self._pending[lease_id]
+            self._pending = None
 
     def _handle_request(self, sender: str, request: RenewalRequest) -> None:
-        task = asyncio.create_task(self._renew(sender, request.lease_id))
+        task = asyncio.create_task(self._renew(sender, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _renew(self, sender: str, lease_id: int) -> None:
+    async def _renew(self, sender: str, request: RenewalRequest) -> None:
+        lease_id, number = request.lease_id, request.number
         match await self._store.renew_lease(lease_id):
             case Result(tag="ok"):
                 logging.info("renewed lease %d for %s", lease_id, sender)
-                self._peers.send(sender, RenewalResponse(lease_id, has_ended=False))
+                self._peers.send(sender, RenewalResponse(lease_id, False, number))
             case Result(tag="error", error=LeaseEnded()):
-                self._peers.send(sender, RenewalResponse(lease_id, has_ended=True))
+                self._peers.send(sender, RenewalResponse(lease_id, True, number))
             case Result(tag="error", error=failure):
                 logging.warning(
                     "could not renew lease %d for %s: %s", lease_id, sender, failure
                 )
 
     def _handle_response(self, sender: str, response: RenewalResponse) -> None:
-        pending = self._pending.get(response.lease_id)
-        if pending is not None and not pending.done():
-            pending.set_result(response)
+        if self._pending is not None and self._pending.matches(response):
+            self._pending.response.set_result(response)
--- /dev/null
+++ b/libraries/gateway/shallotspindle_gateway/renewals_test.py
@@ -0,0 +1,66 @@
+import asyncio
+from random import Random
+from types import SimpleNamespace
+
+from shallotspindle_gateway.messages import RenewalRequest, RenewalResponse
+from shallotspindle_gateway.renewals import PeerRenewals
+
+PEER = "10.0.0.2:1"
+LEASE = 7
+
+
+class FakePeers:
+    """Peers whose responses are sent by the test."""
+
+    def __init__(self) -> None:
+        self.sent: list[RenewalRequest] = []
+        self.handlers: dict = {}
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, address, message):
+        self.sent.append(message)
+
+    def respond(self, response: RenewalResponse) -> None:
+        self.handlers[RenewalResponse](PEER, response)
+
+
+def build_renewals(peers: FakePeers) -> PeerRenewals:
+    roster = SimpleNamespace(list_peers_to_ask=lambda: [PEER])
+    return PeerRenewals(None, SimpleNamespace(roster=roster), peers, Random(1))
+
+
+async def ask(renewals: PeerRenewals, peers: FakePeers) -> asyncio.Task:
+    sent = len(peers.sent)
+    task = asyncio.create_task(renewals.request_renewal(LEASE))
+    while len(peers.sent) == sent:
+        await asyncio.sleep(0)
+    return task
+
+
+class TestLateResponses:
+    # Guards against two holders of a partition: a renewal counted from the sending of
+    # a later request seems to last longer than the lease does at the store.
+
+    async def test_the_response_to_an_earlier_request_is_ignored(self):
+        peers = FakePeers()
+        renewals = build_renewals(peers)
+        assert await (await ask(renewals, peers)) is None
+        earlier, waiting = peers.sent[0], await ask(renewals, peers)
+        peers.respond(RenewalResponse(LEASE, False, earlier.number))
+        assert await waiting is None
+
+    async def test_the_response_to_the_request_is_used(self):
+        peers = FakePeers()
+        waiting = await ask(build_renewals(peers), peers)
+        response = RenewalResponse(LEASE, False, peers.sent[0].number)
+        peers.respond(response)
+        assert await waiting == response
+
+    async def test_the_response_of_an_earlier_release_is_used(self):
+        # Guards against instances that lose their leases while a fleet is replaced.
+        peers = FakePeers()
+        waiting = await ask(build_renewals(peers), peers)
+        peers.respond(RenewalResponse(LEASE, has_ended=False))
+        assert (await waiting).has_ended is False
