Read the store as of one revision, also over several pages

A value that changed before a later page was read was logged for peers under that revision. Peers that already knew it got no event; the watch reported the value again, which the reader dropped as known, and only the revision went up. A removed key, and an upstream that left, were lost in the same way.

--- a/libraries/gateway/shallotspindle_gateway/storage.py
+++ b/libraries/gateway/shallotspindle_gateway/storage.py
@@ -50,7 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All values, and the revision from which changes follow."""
+    """All values as of one revision, from which changes follow.
+
+    No value is newer, and no change up to the revision is missing: a change that peers
+    are told of under the revision of another one never reaches some of them.
+    """
 
     values: tuple[StoredValue, ...]
     revision: int
@@ -72,7 +76,7 @@
     """Key-value store with conditional writes, leases and watches."""
 
     async def read_all(self) -> Result[Snapshot, StoreFailure]:
-        """Return all values."""
+        """Return all values as of one revision."""
 
     async def watch(
         self, revision: int, seconds: float
