Confirm the view of the store only after its changes are applied

Cause: the first response to a watch after an outage confirmed the view, its events were dropped, and all values were read. Until that read was done, the former view counted as confirmed just now, at this instance and towards peers that asked it. The same order stood where the watch had skipped changes.

Change: a response confirms the view after what it told of is applied. After an outage, and where changes were skipped, only a full read confirms it, and a failed one is repeated before changes are watched again. Events of the first response are applied at once. Whether the store was unreachable is judged by its last response, not by the last confirmation, so that a repeated read does not begin another grace period.

--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -110,11 +110,15 @@
         self._confirmed_at = float("-inf")
         # Time up to which all changes are known, as far as the store reported them.
         self._complete_until = float("-inf")
+        # When the store responded last, whether or not the view was complete then.
+        self._responded_at = float("-inf")
         # When the store began to fail, or None while it responds.
         self._failing_since: float | None = None
         # Set while no watcher is fresh, so that the store must be called.
         self._must_watch = asyncio.Event()
-        self._full_read_at = float("-inf")
+        # When the last full read began, or None if one must come before the view is
+        # confirmed again.
+        self._full_read_at: float | None = None
         self.configuration: Configuration = EMPTY_CONFIGURATION
         # Whether the newest configuration was invalid, so that an older one is active.
         self.is_configuration_rejected = False
@@ -207,9 +211,10 @@
         sent_at = self._clock.boottime()
         match await self.store.read_all():
             case Result(tag="ok", ok=Snapshot() as snapshot):
-                self._record_store_response(sent_at, sent_at)
+                self._record_store_response(sent_at)
                 if self._apply_snapshot(snapshot):
                     self._full_read_at = sent_at
+                self._confirm(sent_at, sent_at)
                 await asyncio.sleep(COALESCING_DELAY_SECONDS)
                 return True
             case Result(tag="error", error=failure):
@@ -232,19 +237,11 @@
     async def _watch(self) -> bool:
         """Wait for changes at the store; return whether it responded."""
         sent_at = self._clock.boottime()
-        if sent_at - self._full_read_at > FULL_READ_INTERVAL_SECONDS:
+        if self._is_full_read_due(sent_at):
             return await self._read_all()
         match await self.store.watch(self._log.revision, WATCH_SECONDS):
             case Result(tag="ok", ok=Changes() as changes):
-                if self._record_store_response(sent_at, self._clock.boottime()):
-                    return await self._read_all()
-                if not changes.events and changes.revision > self._log.revision:
-                    logging.info("the watch skipped changes; reading all values")
-                    return await self._read_all()
-                self._apply_unless_outdated(changes)
-                if changes.events:
-                    await asyncio.sleep(COALESCING_DELAY_SECONDS)
-                return True
+                return await self._handle_watch_response(changes, sent_at)
             case Result(tag="error", error=HistoryLost()):
                 logging.info(
                     "the store no longer has the changes after revision %d; "
@@ -256,6 +253,34 @@
                 await self._record_store_failure(failure)
         return False
 
+    def _is_full_read_due(self, now: float) -> bool:
+        """Return whether all values must be read before changes are watched."""
+        return (
+            self._full_read_at is None
+            or now - self._full_read_at > FULL_READ_INTERVAL_SECONDS
+        )
+
+    async def _handle_watch_response(self, changes: Changes, sent_at: float) -> bool:
+        """Apply changes; return whether the view is complete.
+
+        The view is confirmed only after all that the store told of is applied. Where a
+        response may lack changes, reading all values confirms it.
+        """
+        received_at = self._clock.boottime()
+        if self._record_store_response(sent_at):
+            self._full_read_at = None
+        has_skipped = not changes.events and changes.revision > self._log.revision
+        if has_skipped:
+            logging.info("the watch skipped changes; reading all values")
+            return await self._read_all()
+        self._apply_unless_outdated(changes)
+        if self._full_read_at is None:
+            return await self._read_all()
+        self._confirm(sent_at, received_at)
+        if changes.events:
+            await asyncio.sleep(COALESCING_DELAY_SECONDS)
+        return True
+
     def _apply_unless_outdated(
         self, changes: Changes, source: str = STORE_SOURCE
     ) -> None:
@@ -279,18 +304,17 @@
             return stored
         return stored_forms.drop_oversized_value(stored)
 
-    def _record_store_response(self, sent_at: float, complete_until: float) -> bool:
+    def _record_store_response(self, sent_at: float) -> bool:
         """Record a response; return whether the store was unavailable before it.
 
         :param sent_at: when the call was sent, as boot-time in seconds.
-        :param complete_until: time up to which the response contains all changes, as
-            boot-time in seconds.
         """
         now = self._clock.boottime()
         # The wait for this response does not count as time without one.
-        was_unreachable = sent_at - self._complete_until >= MIN_UNREACHABLE_SECONDS
+        last_response_at = max(self._complete_until, self._responded_at)
+        was_unreachable = sent_at - last_response_at >= MIN_UNREACHABLE_SECONDS
         since, self._failing_since = self._failing_since, None
-        self._confirm(sent_at, complete_until)
+        self._responded_at = now
         if since is None:
             return False
         if was_unreachable:
@@ -306,6 +330,12 @@
         loop.call_later(seconds + EXPIRY_MARGIN_SECONDS, self._expire)
 
     def _confirm(self, sent_at: float, complete_until: float) -> None:
+        """Record that the view is complete; all known changes must be applied before.
+
+        :param sent_at: when the call to the store was sent, as boot-time in seconds.
+        :param complete_until: time up to which the view contains all changes, as
+            boot-time in seconds.
+        """
         self._confirmed_at = max(self._confirmed_at, sent_at)
         self._complete_until = max(self._complete_until, complete_until)
 
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -244,6 +244,81 @@
             )
 
 
+@dataclass
+class RecoveringStore(ScriptedStore):
+    """Store whose reads take until ``may_read`` is set after an outage.
+
+    :param events: what a watch reports after the outage.
+    """
+
+    events: tuple[StoredValue | str, ...] = ()
+    may_read: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def read_all(self):
+        if self.revision > 10:
+            await self.may_read.wait()
+        return await super().read_all()
+
+    async def watch(self, revision, seconds):
+        changes = await super().watch(revision, seconds)
+        return changes.map(lambda ok: Changes(self.events, ok.revision))
+
+
+def build_configuration(version: int, revision: int) -> StoredValue:
+    document = {"version": version, "keys": [f"key-{version}"], "rate": 1.0}
+    return StoredValue("configuration", json.dumps(document).encode(), revision)
+
+
+class TestConfirmations:
+    # Guards against a withdrawn key that works again for a moment: the view was
+    # confirmed by the first response after an outage, before what it told was applied.
+
+    async def measure_ages(self, events) -> list[float]:
+        """Return the ages told of the old view after the store responds again."""
+        store = RecoveringStore((build_configuration(1, 2),))
+        async with following_store(store, ScriptedPeers()) as follower:
+            store.mode = "refuse"
+            await asyncio.sleep(following.MIN_UNREACHABLE_SECONDS + 1.0)
+            store.values = (build_configuration(2, 20),)
+            store.events, store.revision, store.mode = events, 20, "ok"
+            ages = []
+            until = SystemClock().boottime() + 1.5
+            while SystemClock().boottime() < until:
+                if follower.configuration.bundle.version == 1:
+                    freshness = follower._read_freshness()
+                    ages += [freshness.age_seconds]
+                    ages += [freshness.store_response_age_seconds]
+                await asyncio.sleep(0.01)
+            store.may_read.set()
+            await await_true(lambda: follower.configuration.bundle.version == 2, 2.0)
+            now = SystemClock().boottime()
+            await await_true(lambda: follower._confirmed_at > now - 2.0, 2.0)
+        return ages
+
+    async def test_a_skipped_change_is_read_before_the_view_is_confirmed(self):
+        ages = await self.measure_ages(())
+        assert ages
+        assert min(ages) >= following.MIN_UNREACHABLE_SECONDS
+
+    async def test_changes_are_applied_before_the_view_is_confirmed(self):
+        ages = await self.measure_ages((build_configuration(2, 20),))
+        assert min(ages) >= following.MIN_UNREACHABLE_SECONDS
+
+    async def test_a_failed_read_after_an_outage_is_repeated(self):
+        # Guards against a view that a watch confirms although it may lack changes.
+        store = ScriptedStore((build_configuration(1, 2),))
+        follower = TestOutdatedChanges().follow(revision=10)
+        follower.store = store
+        follower._failing_since = SystemClock().boottime() - 5.0
+        store.mode = "refuse"
+        await follower._handle_watch_response(Changes((), 10), SystemClock().boottime())
+        assert follower._confirmed_at < 0
+        store.mode = "ok"
+        await follower._watch()
+        assert follower.configuration.bundle.version == 1
+        assert follower._confirmed_at > 0
+
+
 # Time in which an instance must learn that an upstream left. Requests whose slot was
 # granted before that, and requests to terminated peers, take the rest of the 2 s
 # allowed.
