Count a contact with the store once the newest bundle is loaded

While the chunks were read, and for as long as they could not be read, the instance and those that got its heartbeats called the older bundle fresh, and ran requests with keys that the newer one withdraws. Not seen by callers; found by looking for the class.

Change: the contact counts after the bundle is loaded. An invalid bundle never becomes active, so the loaded one stays the newest and the contact counts; that a bundle could not be read no longer leaves the mark of an earlier invalid one.

--- a/libraries/entry/shallotspindle_entry/bundle_following.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following.py
@@ -32,6 +32,8 @@
     """Task whose bundle the followers keep up to date."""
 
     is_ready: bool
+    # Whether the newest bundle of the store is invalid.
+    is_bundle_rejected: bool
 
     @property
     def version(self) -> int:
@@ -124,7 +126,12 @@
             self._changed.clear()
 
     async def poll(self) -> None:
-        """Read the manifest once and load its bundle if it is newer."""
+        """Read the manifest once and load its bundle if it is newer.
+
+        The contact with the store counts only once the bundle is loaded, since a newer
+        one may withdraw keys. An invalid bundle never becomes active, so the loaded one
+        stays the newest.
+        """
         started_at = self._clock.boottime()
         data = await self.source.fetch_manifest()
         if data.is_error():
@@ -137,8 +144,10 @@
             return
         if not self._has_read_withdrawals and not await self.read_withdrawals():
             return
-        self.last_contact_at = started_at
-        if data.ok and await self._owner.load(self.source, data.ok):
+        is_loaded = bool(data.ok) and await self._owner.load(self.source, data.ok)
+        if is_loaded or not data.ok or self._owner.is_bundle_rejected:
+            self.last_contact_at = started_at
+        if is_loaded:
             await self._owner.confirm()
         await self.store_withdrawals()
 
--- a/libraries/entry/shallotspindle_entry/configuration.py
+++ b/libraries/entry/shallotspindle_entry/configuration.py
@@ -213,8 +213,11 @@
     def _record_failures(
         self, data: bytes, failures: tuple[Failure, ...], from_store: bool
     ) -> None:
-        if from_store and not any(isinstance(f, StoreFailure) for f in failures):
-            self.is_bundle_rejected = True
+        if from_store:
+            # Of a bundle that could not be read nothing is known yet.
+            self.is_bundle_rejected = not any(
+                isinstance(f, StoreFailure) for f in failures
+            )
         for failure in failures:
             logging.warning("loading the bundle failed: %s", failure)
         if any(isinstance(f, bundle_loading.BundleFailure) for f in failures):
