Store the crashes that a request caused, and end no quarantine by time

Cause: what is known of crashing requests was in the memory of each process and was broadcast only at the moment of a crash; a process that started asked nobody. The promise names no time, the memory ended after 60 s. Requests that waited for a slot when their quarantine began were let through, too, and so was one whose lenders did not respond.

Change: a record for each request is kept under 16 keys of the store, which are bounded in size, without a lease. What is written is the state, not an increment, so a lost answer or a second writer counts nothing twice. Processes take over the stored records with their first read, before they are ready. A quarantine ends with a complete response, of which the instances tell each other (RequestCompleted, a new kind that old builds ignore).

--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -34,6 +34,7 @@
     Settings,
 )
 from shallotspindle_gateway.storage import (
+    NO_LEASE,
     Changes,
     Lease,
     LeaseEnded,
@@ -114,7 +115,7 @@
     async def write_if_unchanged(self, values, expected, lease):
         if failed := self._check_available():
             return failed
-        if lease not in self.leases:
+        if lease not in {NO_LEASE, *self.leases}:
             return Error(LeaseEnded("store", "ended"))
         for key, revision in expected.items():
             current = self.values.get(key)
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -18,6 +18,7 @@
 from shallotspindle_environment.reloads import EarlyReloads
 from shallotspindle_gateway import messages
 from shallotspindle_gateway.admission import Admission
+from shallotspindle_gateway.crash_recording import CrashRecorder
 from shallotspindle_gateway.execution import Executor
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.forwarding import Forwarder
@@ -102,6 +103,9 @@
             clock,
             self.errors,
         )
+        crashes = CrashRecorder(
+            own_instance, store, self.follower, self.peers, clock, self.errors
+        )
         self._lender = SlotLender(
             own_instance,
             self.follower,
@@ -109,6 +113,7 @@
             settings.bounds,
             clock,
             random_source,
+            crashes,
             self.errors,
         )
         self.notices = NoticeRecorder(self.follower, self.peers, clock)
@@ -119,6 +124,7 @@
             clock,
             random_source,
             self.notices,
+            crashes.tracker,
         )
         forwarder = Forwarder(
             settings.headers,
@@ -154,6 +160,7 @@
             self.peers,
             self.follower,
             self.ownership,
+            crashes,
             self._lender,
             forwarder,
             self._frontend,
--- a/libraries/gateway/shallotspindle_gateway/following.py
+++ b/libraries/gateway/shallotspindle_gateway/following.py
@@ -126,6 +126,8 @@
         self.members: dict[str, Member] = {}
         self.roster = PeerRoster(own_instance, self.members, clock)
         self.partitions: dict[str, PartitionHolder | UnreadableHolder] = {}
+        # Records of the requests that crash upstreams, by key.
+        self.crash_values: dict[str, StoredValue] = {}
         self._transfers = transfers.OutgoingTransfers()
         peers.register(ChangesRequest, self._handle_request)
         peers.register(ViewRequest, self._handle_view_request)
@@ -470,6 +472,8 @@
             self._apply_member(stored, now)
         elif stored.key in stored_forms.PARTITION_KEYS:
             self._apply_partition(stored, now)
+        elif stored.key in stored_forms.CRASH_KEYS:
+            self.crash_values[stored.key] = stored
 
     def _apply_removal(self, key: str, now: float) -> None:
         if self._decoder.is_announcement(key):
@@ -478,6 +482,7 @@
             )
         self._remove_member(key, now)
         self.partitions.pop(key, None)
+        self.crash_values.pop(key, None)
 
     def _remove_member(self, key: str, now: float) -> None:
         member = self.members.pop(key, None)
--- a/libraries/gateway/shallotspindle_gateway/slot_lender.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_lender.py
@@ -15,19 +15,18 @@
 from shallotspindle_core.clock import Clock
 from shallotspindle_core.identifiers import FailureDomain, ServiceName
 from shallotspindle_core.randomness import RandomSource
+from shallotspindle_gateway.crash_recording import CrashRecorder
 from shallotspindle_gateway.election import rank_lenders
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.log_limiter import LogLimiter
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Bounds, Member
-from shallotspindle_lending.crashes import CrashTracker
 from shallotspindle_lending.leaving import LeavingReports
 from shallotspindle_lending.records import (
     Outcome,
     SlotQueued,
     SlotRequest,
     SlotReturned,
-    UpstreamCrashed,
     UpstreamLeaving,
 )
 from shallotspindle_lending.scheduler import AddressedDecision, SlotScheduler
@@ -45,6 +44,7 @@
 class SlotLender(Service):
     """Owns the slot schedulers of this instance, by service and failure domain.
 
+    :param crashes: owns the tracker that the schedulers share.
     :param errors: counts unexpected errors; one scheduler must not stop the others.
     """
 
@@ -56,6 +56,7 @@
         bounds: Bounds,
         clock: Clock,
         random: RandomSource,
+        crashes: CrashRecorder,
         errors: UnexpectedErrors,
         **kwargs: Any,
     ) -> None:
@@ -68,7 +69,8 @@
         self._clock = clock
         self._random = random
         self._log_limiter = LogLimiter(clock)
-        self._crashes = CrashTracker()
+        self._crashes = crashes.tracker
+        crashes.subscribe(self._handle_crash)
         self._leaving_reports = LeavingReports()
         self._schedulers: dict[tuple[ServiceName, FailureDomain], SlotScheduler] = {}
         # Version of the upstreams and number of members that the schedulers know.
@@ -76,7 +78,6 @@
         follower.subscribe(self._update_schedulers)
         peers.register(SlotRequest, self._handle_request)
         peers.register(SlotReturned, self._handle_return)
-        peers.register(UpstreamCrashed, self._handle_crash)
         peers.register(UpstreamLeaving, self._handle_leaving)
 
     async def start(self) -> None:
@@ -177,11 +178,9 @@
         for addressed in decisions:
             self._peers.send(addressed.requester, addressed.decision)
 
-    def _handle_crash(self, sender: str, crash: UpstreamCrashed) -> None:
-        now = self._clock.boottime()
-        self._crashes.record_crash(crash.fingerprint, crash.upstream, now)
+    def _handle_crash(self, fingerprint: int) -> None:
         for scheduler in self._schedulers.values():
-            scheduler.handle_crash(crash.fingerprint, now)
+            scheduler.handle_crash(fingerprint)
 
     def _handle_leaving(self, sender: str, leaving: UpstreamLeaving) -> None:
         now = self._clock.boottime()
--- a/libraries/gateway/shallotspindle_gateway/slot_requester.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester.py
@@ -22,6 +22,7 @@
 from shallotspindle_gateway.peers import PeerTransport, RequestTimedOut
 from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.upstream_notices import NoticeRecorder
+from shallotspindle_lending.crashes import CrashTracker
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -164,7 +165,10 @@
 
 
 class SlotRequester:
-    """Owns the slot requests that wait for a decision."""
+    """Owns the slot requests that wait for a decision.
+
+    :param crashes: requests that crash upstreams; shared with the lender.
+    """
 
     def __init__(
         self,
@@ -174,7 +178,9 @@
         clock: Clock,
         random: RandomSource,
         notices: NoticeRecorder,
+        crashes: CrashTracker,
     ) -> None:
+        self._crashes = crashes
         self._notices = notices
         self._own_instance = own_instance
         self._follower = follower
@@ -529,8 +535,12 @@
 
     def _choose_random_upstream(
         self, requirements: SlotRequirements
-    ) -> AcquiredSlot | None:
+    ) -> AcquiredSlot | SlotRefusal | None:
         """Return an upstream of another domain, whose lenders do not respond."""
+        if not self._crashes.admits(requirements.fingerprint):
+            return SlotRefusal(
+                0, RefusalReason.QUARANTINED, DEFAULT_HEDGE_DELAY_SECONDS
+            )
         usable = self._follower.upstreams.list_usable(requirements.service)
         names = sorted(usable.keys() - set(requirements.excluded_upstreams))
         if not names:
--- a/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
@@ -14,6 +14,7 @@
     choose_unpopulated_domain,
 )
 from shallotspindle_gateway.upstream_notices import NoticeRecorder
+from shallotspindle_lending.crashes import CrashTracker
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
@@ -80,7 +81,9 @@
 def build_requester(follower, peers, seed: int = 1) -> SlotRequester:
     clock = SystemClock()
     notices = NoticeRecorder(follower, peers, clock)
-    return SlotRequester(OWN_INSTANCE, follower, peers, clock, Random(seed), notices)
+    return SlotRequester(
+        OWN_INSTANCE, follower, peers, clock, Random(seed), notices, CrashTracker()
+    )
 
 
 class TestAbandonedRequests:
--- a/libraries/gateway/shallotspindle_gateway/storage.py
+++ b/libraries/gateway/shallotspindle_gateway/storage.py
@@ -14,6 +14,9 @@
 from shallotspindle_gateway.records import Configuration
 from shallotspindle_registry.records import Announcement
 
+# Id in place of a lease for keys that no lease removes.
+NO_LEASE = 0
+
 
 @dataclass(frozen=True, slots=True)
 class HistoryLost(StoreFailure):
@@ -92,7 +95,7 @@
         """Write values if the keys still have the expected revisions.
 
         :param expected: revision by key; 0 means that the key does not exist.
-        :param lease: id of the lease whose end removes the keys.
+        :param lease: id of the lease whose end removes the keys, or ``NO_LEASE``.
         :returns: the revision of the write.
         """
 
--- a/libraries/gateway/shallotspindle_gateway/stored_forms.py
+++ b/libraries/gateway/shallotspindle_gateway/stored_forms.py
@@ -1,20 +1,28 @@
-"""What instances write into the store: members and the holders of partitions.
+"""What instances write into the store: members, holders of partitions and crashes.
 
 Other programs may write to the store too, so every value is checked when it is read. A
 value that cannot be read counts as absent; it never replaces the reading of others.
 """
 
 import json
+from collections.abc import Mapping
 
 from expression import Result
 from pydantic import TypeAdapter
 
 from shallotspindle_core.failures import Failure
-from shallotspindle_core.identifiers import FailureDomain
+from shallotspindle_core.identifiers import FailureDomain, UpstreamName
 from shallotspindle_gateway.records import Member, PartitionHolder
 from shallotspindle_gateway.storage import StoredValue
+from shallotspindle_lending.crashes import CrashRecord, select_important
 from shallotspindle_validation import documents
-from shallotspindle_validation.fields import Ipv4Address, Megabits, Name
+from shallotspindle_validation.fields import (
+    Counter,
+    Fingerprint,
+    Ipv4Address,
+    Megabits,
+    Name,
+)
 
 MEMBER_PREFIX = "members/"
 PARTITION_PREFIX = "limits/"
@@ -26,8 +34,18 @@
 # datagram to the peers, and none of them could follow the store past it.
 MAX_ENTRY_BYTES = 8 * 1024
 
+# Records of the requests that crash upstreams, divided by fingerprint.
+CRASH_PREFIX = "crashes/"
+CRASH_KEY_COUNT = 16
+CRASH_KEYS = tuple(f"{CRASH_PREFIX}{number}" for number in range(CRASH_KEY_COUNT))
+
 MEMBER_ADAPTER = TypeAdapter(tuple[Ipv4Address, Name, Megabits])
 HOLDER_ADAPTER = TypeAdapter(tuple[Ipv4Address, Name])
+# By fingerprint in hexadecimal: the number of crashes, the names of upstreams, the Unix
+# time of the last crash in seconds, and the number of trials.
+CRASHES_ADAPTER = TypeAdapter(
+    dict[Fingerprint, tuple[Counter, tuple[Name, ...], Counter, Counter]]
+)
 
 
 def drop_oversized_value(stored: StoredValue) -> StoredValue:
@@ -59,3 +77,48 @@
     """Return the holder that is registered under a partition's key."""
     decoded = documents.decode_with(HOLDER_ADAPTER, stored.key, stored.value)
     return decoded.map(lambda fields: PartitionHolder(*fields, stored.revision))
+
+
+def find_crash_key(fingerprint: int) -> str:
+    """Return the key under which the crashes of a request are stored."""
+    return CRASH_KEYS[fingerprint % CRASH_KEY_COUNT]
+
+
+def encode_crashes(records: Mapping[int, CrashRecord]) -> bytes:
+    """Return the value of a key with records of crashes.
+
+    The least important records are left out if the value would be too large.
+    """
+    kept = select_important(records, len(records))
+    while True:
+        document = {
+            f"{fingerprint:016x}": [
+                record.count,
+                record.upstreams,
+                record.last_crash_at,
+                record.trials,
+            ]
+            for fingerprint, record in sorted(kept.items())
+        }
+        value = json.dumps(document, separators=(",", ":")).encode()
+        if len(value) <= MAX_ENTRY_BYTES:
+            return value
+        kept = select_important(kept, len(kept) * MAX_ENTRY_BYTES // len(value))
+
+
+def decode_crashes(stored: StoredValue) -> Result[dict[int, CrashRecord], Failure]:
+    """Return the records of crashes that are stored under a key."""
+    decoded = documents.decode_with(CRASHES_ADAPTER, stored.key, stored.value)
+    return decoded.map(
+        lambda document: {
+            int(fingerprint, 16): CrashRecord(
+                count, tuple(map(UpstreamName, names)), last_crash_at, trials
+            )
+            for fingerprint, (
+                count,
+                names,
+                last_crash_at,
+                trials,
+            ) in document.items()
+        }
+    )
--- a/libraries/gateway/shallotspindle_gateway/wire_form_test.py
+++ b/libraries/gateway/shallotspindle_gateway/wire_form_test.py
@@ -27,6 +27,7 @@
 from shallotspindle_lending.records import (
     Outcome,
     RefusalReason,
+    RequestCompleted,
     SlotGrant,
     SlotQueued,
     SlotRefusal,
@@ -169,6 +170,7 @@
         UpstreamCrashed(fingerprint=1, upstream=UpstreamName("text-2")),
         [1, "crashseen", 1, "text-2"],
     ),
+    (RequestCompleted(fingerprint=1), [1, "requestcompleted", 1]),
     (
         UpstreamLeaving(upstream=UpstreamName("text-1"), started_at_ms=2),
         [1, "upstreamleaving", "text-1", 2],
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -149,6 +149,16 @@
     upstream: UpstreamName
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCompleted:
+    """An upstream completed a request that had crashed upstreams before.
+
+    :param fingerprint: hash of the request.
+    """
+
+    fingerprint: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
     """An upstream said in a response to the sender that it leaves.
@@ -168,6 +178,7 @@
     SlotRefusal,
     SlotReturned,
     UpstreamCrashed,
+    RequestCompleted,
     UpstreamLeaving,
 )
 Decision = SlotGrant | SlotRefusal
--- a/libraries/lending/shallotspindle_lending/scheduler.py
+++ b/libraries/lending/shallotspindle_lending/scheduler.py
@@ -284,9 +284,9 @@
         for state in self._upstream_states.values():
             state.leases.pop(key, None)
 
-    def handle_crash(self, fingerprint: int, now: float) -> None:
+    def handle_crash(self, fingerprint: int) -> None:
         """Clear the suspensions that a quarantined request caused."""
-        if not self._crash_tracker.is_quarantined(fingerprint, now):
+        if not self._crash_tracker.is_quarantined(fingerprint):
             return
         for name in self._crash_tracker.list_crashed_upstreams(fingerprint):
             if name in self._upstream_states:
@@ -308,10 +308,8 @@
                 has_free_slot = self._has_free_slot(now)
             elif now >= item.expires_at:
                 decided.append(self._build_refusal(item.request, RefusalReason.BUSY))
-            elif not self._is_within_retry_budget(item.request, now):
-                decided.append(
-                    self._build_refusal(item.request, RefusalReason.NO_BUDGET)
-                )
+            elif reason := self._find_exclusion(item.request, now):
+                decided.append(self._build_refusal(item.request, reason))
             else:
                 remaining.append(item)
         self._queue = remaining
@@ -344,13 +342,16 @@
     ) -> RefusalReason | None:
         if not self._upstream_states.keys() - set(request.excluded_upstreams):
             return RefusalReason.NO_UPSTREAM
-        if self._crash_tracker.is_quarantined(request.fingerprint, now):
+        return self._find_exclusion(request, now)
+
+    def _find_exclusion(self, request: SlotRequest, now: float) -> RefusalReason | None:
+        """Return why a request may use no upstream at all, whichever is free."""
+        if not self._crash_tracker.admits(request.fingerprint):
+            self._crash_tracker.record_refusal(request.fingerprint)
             return RefusalReason.QUARANTINED
-        return (
-            None
-            if self._is_within_retry_budget(request, now)
-            else RefusalReason.NO_BUDGET
-        )
+        if not self._is_within_retry_budget(request, now):
+            return RefusalReason.NO_BUDGET
+        return None
 
     def _is_within_retry_budget(self, request: SlotRequest, now: float) -> bool:
         """Return whether the request is a first attempt or a retry is left."""
@@ -374,13 +375,12 @@
 
     def _try_grant(self, item: QueuedRequest, now: float) -> AddressedDecision | None:
         request = item.request
-        chosen = (
-            self._choose_upstream(item, now)
-            if self._is_within_retry_budget(request, now)
-            else None
-        )
+        if self._find_exclusion(request, now) is not None:
+            return None
+        chosen = self._choose_upstream(item, now)
         if chosen is None:
             return None
+        self._crash_tracker.use_trial(request.fingerprint)
         # Counted only when a slot is granted: a request that is refused here may be
         # granted a slot, and counted, in another failure domain.
         if request.is_retry:
--- a/libraries/lending/shallotspindle_lending/scheduler_test.py
+++ b/libraries/lending/shallotspindle_lending/scheduler_test.py
@@ -422,7 +422,7 @@
             state = harness.scheduler.upstream_states[UpstreamName(name)]
             state.record_outcome(Outcome.RESET, "me", 0.9, 1.0)
             harness.crash_tracker.record_crash(77, UpstreamName(name), 1.0)
-        harness.scheduler.handle_crash(77, 1.0)
+        harness.scheduler.handle_crash(77)
         assert isinstance(harness.decide(build_request(1), 1.0)[0], SlotGrant)
 
 
--- a/libraries/validation/shallotspindle_validation/fields.py
+++ b/libraries/validation/shallotspindle_validation/fields.py
@@ -36,6 +36,8 @@
         min_length=1, max_length=bounds.MAX_NAME_LENGTH, pattern=r"^[^\x00-\x1f\x7f]*$"
     ),
 ]
+# A hash of 64 bits in hexadecimal.
+Fingerprint = Annotated[str, Field(pattern=r"^[0-9a-f]{16}$")]
 Slots = Annotated[int, Field(ge=1, le=bounds.MAX_SLOTS)]
 Connections = Annotated[int, Field(ge=1, le=bounds.MAX_CONNECTIONS)]
 Counter = Annotated[int, Field(ge=0, le=bounds.MAX_COUNTER)]
