Count responses as buffered until their callers have read them

Cause: the memory limit covered a response until its last byte had arrived from the upstream.

Change: one limit covers the responses that arrive and those that wait for callers. When it is exceeded, the largest makes room, and among equal ones the one that waits for its caller longest: its connection is aborted, never ended as if the answer were complete.

TestSlowCallers fails without the change (nothing counts the waiting responses).

--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -148,7 +148,13 @@
             settings.name, self.follower, clock, self.errors, self.notices
         )
         self._frontend = Frontend(
-            settings, self._pipeline, self._lifecycle, reporter, clock, self._callers
+            settings,
+            self._pipeline,
+            self._lifecycle,
+            reporter,
+            clock,
+            self._callers,
+            forwarder.response_memory,
         )
         probe_server = ProbeServer(
             settings.readiness_path,
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import itertools
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -17,16 +16,13 @@
 
 from shallotspindle_core.clock import Clock
 from shallotspindle_entry.headers import RETRY_AFTER
-from shallotspindle_entry.response_limits import (
-    ResponseFault,
-    ResponseLimits,
-    ResponseMemory,
-)
+from shallotspindle_entry.response_limits import ResponseFault, ResponseLimits
 from shallotspindle_entry.upstream_connections import (
     BoundedResponseHandler,
     ResponseAbortedError,
     find_fault,
 )
+from shallotspindle_gateway.buffered_responses import BufferedResponses
 from shallotspindle_gateway.records import HeaderNames
 from shallotspindle_lending.records import Outcome
 from shallotspindle_notices import notices
@@ -124,9 +120,7 @@
         self._record_notice = record_notice
         self._clock = clock
         self._limits = limits
-        self.response_memory = ResponseMemory(limits.max_total_bytes)
-        self._handlers: dict[int, BoundedResponseHandler] = {}
-        self._connection_ids = itertools.count()
+        self.response_memory = BufferedResponses(limits.max_total_bytes)
 
     async def start(self) -> None:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
@@ -152,8 +146,9 @@
     def _build_handler(self) -> BoundedResponseHandler:
         """Return the protocol object for a new connection."""
         loop = asyncio.get_running_loop()
+        number = self.response_memory.create_number()
         return BoundedResponseHandler(
-            loop, self._limits, next(self._connection_ids), self._record_buffered_bytes
+            loop, self._limits, number, self._record_buffered_bytes
         )
 
     def _record_buffered_bytes(
@@ -161,21 +156,16 @@
     ) -> None:
         """Record the bytes that a connection buffers.
 
-        Aborts the response that buffers most if all together exceed the limit.
-
         :param size: buffered bytes; 0 when the connection holds none any more.
         """
         if not size:
             self.response_memory.release(handler.connection_id)
-            self._handlers.pop(handler.connection_id, None)
             return
-        self._handlers[handler.connection_id] = handler
-        largest_id = self.response_memory.set_size(handler.connection_id, size)
-        if largest_id is not None:
-            self.response_memory.release(largest_id)
-            self._handlers.pop(largest_id).abort_response(
-                ResponseFault.MEMORY_EXHAUSTED
-            )
+        self.response_memory.set_size(
+            handler.connection_id,
+            size,
+            lambda: handler.abort_response(ResponseFault.MEMORY_EXHAUSTED),
+        )
 
     async def send(self, request: UpstreamRequest) -> AttemptResult:
         """Send a request and return when its response is complete or has failed."""
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -10,7 +10,12 @@
 from shallotspindle_entry.response_limits import ResponseFault, ResponseLimits
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_gateway import forwarding, ownership
-from shallotspindle_gateway.conftest import NAMES
+from shallotspindle_gateway.conftest import (
+    LARGE_BYTES,
+    NAMES,
+    RawCaller,
+    build_order,
+)
 from shallotspindle_gateway.forwarding import Forwarder, UpstreamRequest
 from shallotspindle_lending.records import Outcome
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
@@ -428,6 +433,50 @@
                 await asyncio.sleep(0.01)
 
 
+class TestSlowCallers:
+    # Guards against complete responses whose callers do not read: they were not counted
+    # any more, and a few long ones exhausted the memory of an instance.
+
+    LIMITS = ResponseLimits(max_total_bytes=3 * LARGE_BYTES)
+
+    async def start(self, fleet):
+        await fleet.add_upstream("large")
+        daemon = await fleet.add_gateway(response_limits=self.LIMITS)
+        await fleet.await_true(
+            lambda: len(daemon.follower.partitions) == ownership.PARTITION_COUNT
+        )
+        return daemon, daemon._frontend._buffered
+
+    @pytest.mark.usefixtures("no_startup_delay")
+    async def test_their_responses_share_the_memory_limit(self, fleet):
+        daemon, buffered = await self.start(fleet)
+        callers = []
+        for _ in range(6):
+            caller = await RawCaller.connect(daemon, receive_bytes=4096)
+            caller.write(build_order(b"order"))
+            await caller.read_head()
+            callers.append(caller)
+            assert buffered.used_bytes <= self.LIMITS.max_total_bytes
+        assert buffered.used_bytes > LARGE_BYTES
+        status, _, body = await fleet.send(daemon)
+        assert (status, len(body)) == (200, LARGE_BYTES)
+        for caller in callers:
+            caller.abort()
+        await fleet.await_true(lambda: not buffered.used_bytes)
+
+    @pytest.mark.usefixtures("no_startup_delay")
+    async def test_a_response_that_is_read_late_is_complete(self, fleet):
+        daemon, buffered = await self.start(fleet)
+        caller = await RawCaller.connect(daemon, receive_bytes=4096)
+        caller.write(build_order(b"order", "Connection: close"))
+        await fleet.await_true(lambda: buffered.used_bytes >= LARGE_BYTES)
+        await asyncio.sleep(0.2)
+        assert buffered.used_bytes >= LARGE_BYTES
+        _, _, body = (await caller.read()).partition(b"\r\n\r\n")
+        assert len(body) == LARGE_BYTES
+        await fleet.await_true(lambda: not buffered.used_bytes)
+
+
 class TestCallerResponses:
     @pytest.fixture(autouse=True)
     def long_timeouts(self, monkeypatch):
--- a/libraries/gateway/shallotspindle_gateway/frontend.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import weakref
 from collections.abc import Callable
 from typing import Any
 
+from absl import logging
 from aiohttp import web
 from aiomisc import Service
 
@@ -13,6 +15,7 @@
 from shallotspindle_entry.caller_connections import CallerConnection, ConnectionLimits
 from shallotspindle_entry.lifecycle import Lifecycle, Stage
 from shallotspindle_gateway import headers, problems
+from shallotspindle_gateway.buffered_responses import BufferedResponses
 from shallotspindle_gateway.forwarding import UpstreamResponse
 from shallotspindle_gateway.pipeline import Pipeline, RequestTrace
 from shallotspindle_gateway.problems import Problem
@@ -27,6 +30,9 @@
 LISTEN_BACKLOG = 1024
 IDLE_CHECK_INTERVAL_SECONDS = 0.02
 ACCEPT_GRACE_SECONDS = 0.05
+ABORTED_LOG_INTERVAL_SECONDS = 10.0
+# Memory that the head of a response takes.
+HEAD_BYTES = 4 * 1024
 
 
 def build_error_response(is_malformed: bool) -> web.Response:
@@ -35,10 +41,42 @@
     return problems.build_response(problem, {})
 
 
+class BufferedResponse(web.Response):
+    """Response whose body is counted as buffered until its caller has read it."""
+
+    def count(self, buffered: BufferedResponses, request: web.BaseRequest) -> None:
+        """Count the body; the connection is aborted if there is no room for it."""
+        number = buffered.create_number()
+        # The head makes it larger than a response of the same length that arrives, so
+        # that the one whose caller does not read makes room for the other.
+        size = len(self.body) + HEAD_BYTES
+        # Also runs if the connection ends before the response is written.
+        self._release = weakref.finalize(self, buffered.release, number)
+
+        def abort() -> None:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "aborted a response of %d bytes whose caller had not read it",
+                ABORTED_LOG_INTERVAL_SECONDS,
+                size,
+            )
+            if request.transport is not None:
+                request.transport.abort()
+
+        buffered.set_size(number, size, abort)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        try:
+            await super().write_eof(data)
+        finally:
+            self._release()
+
+
 class Frontend(Service):
     """Owns the callers' sockets and hands each request to the pipeline.
 
     :param listener: listening socket for callers.
+    :param buffered: bounds the responses that wait for callers.
     """
 
     def __init__(
@@ -49,9 +87,11 @@
         reporter: Reporter,
         clock: Clock,
         listener: socket.socket,
+        buffered: BufferedResponses,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._buffered = buffered
         self._header_names = settings.headers
         self._pipeline = pipeline
         self._lifecycle = lifecycle
@@ -137,25 +177,30 @@
             self._lifecycle.end_request()
             duration_seconds = self._clock.boottime() - started_at
             self._reporter.report(trace, result, duration_seconds)
-        response = self._build_response(result, trace)
+        response = self._build_response(request, result, trace)
         if self._lifecycle.stage is not Stage.RUNNING:
             response.force_close()
         return response
 
     def _build_response(
-        self, result: UpstreamResponse | Problem, trace: RequestTrace
+        self,
+        request: web.BaseRequest,
+        result: UpstreamResponse | Problem,
+        trace: RequestTrace,
     ) -> web.StreamResponse:
         if isinstance(result, Problem):
             return problems.build_response(
                 result, {self._header_names.request_id: trace.request_id}
             )
         response_headers = headers.build_caller_headers(result.headers)
-        return web.Response(
+        response = BufferedResponse(
             status=result.status,
             reason=result.reason,
             headers=response_headers,
             body=result.body,
         )
+        response.count(self._buffered, request)
+        return response
 
 
 class ProbeServer(Service):
