--- a/libraries/entry/shallotspindle_entry/forwarding.py
+++ b/libraries/entry/shallotspindle_entry/forwarding.py
@@ -21,7 +21,10 @@
 from shallotspindle_bundles.records import Upstream
 from shallotspindle_entry import headers
 from shallotspindle_entry.response_limits import ResponseLimits
-from shallotspindle_entry.upstream_connections import BoundedResponseHandler
+from shallotspindle_entry.upstream_connections import (
+    BoundedConnector,
+    BoundedResponseHandler,
+)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Also limits how many chunks are parsed at once: 1,024, or 2 ms of processor time.
@@ -32,13 +35,12 @@
 )
 
 
-class CheckedConnector(aiohttp.TCPConnector):
+class CheckedConnector(BoundedConnector):
     """Connector that never reuses a connection on which unexpected data arrived."""
 
     def __init__(self, **params: Any) -> None:
-        super().__init__(**params)
+        super().__init__(self._build_handler, **params)
         self._connection_ids = itertools.count()
-        self._factory = self._build_handler
 
     def _build_handler(self) -> BoundedResponseHandler:
         """Return the protocol of a new connection."""
--- a/libraries/entry/shallotspindle_entry/main.py
+++ b/libraries/entry/shallotspindle_entry/main.py
@@ -4,10 +4,10 @@
 import sys
 from pathlib import Path
 
-import aiohttp
 import uvloop
 from cyclopts import App
 
+from shallotspindle_entry import store_connections
 from shallotspindle_entry.daemon import Daemon
 from shallotspindle_settings.daemon import EntrySettings, load_settings
 from shallotspindle_telemetry import logs
@@ -19,7 +19,7 @@
 
 async def serve(settings: EntrySettings) -> None:
     """Run one instance until its graceful shutdown ends."""
-    async with aiohttp.ClientSession() as session:
+    async with store_connections.open_store_session() as session:
         await Daemon(settings, session).run()
 
 
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -192,6 +192,19 @@
         self.transport.abort()
 
 
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections enforce limits on responses.
+
+    :param build_handler: returns the protocol of a new connection.
+    """
+
+    def __init__(
+        self, build_handler: Callable[[], BoundedResponseHandler], **params: Any
+    ) -> None:
+        super().__init__(**params)
+        self._factory = build_handler
+
+
 def find_fault(error: Exception) -> ResponseFault | None:
     """Return why a response was not read to its end, or None if it was truncated."""
     if isinstance(error, ResponseAbortedError):
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -18,6 +18,7 @@
 from shallotspindle_entry.headers import RETRY_AFTER
 from shallotspindle_entry.response_limits import ResponseFault, ResponseLimits
 from shallotspindle_entry.upstream_connections import (
+    BoundedConnector,
     BoundedResponseHandler,
     ResponseAbortedError,
     find_fault,
@@ -123,8 +124,7 @@
         self.response_memory = BufferedResponses(limits.max_total_bytes)
 
     async def start(self) -> None:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        connector._factory = self._build_handler
+        connector = BoundedConnector(self._build_handler, limit=0, force_close=True)
         self._session = aiohttp.ClientSession(
             auto_decompress=False,
             connector=connector,
