Let two variants of the broken gateway meet their fault for certain

Errors of one upstream for 2 s met few requests of a gateway at load.

Change: four upstreams drain 0.1 s after the malformed entries in place of one after 1 s, and all upstreams have errors. No check, bound or variant changed.

--- a/libraries/soak/shallotspindle_soak/main_test.py
+++ b/libraries/soak/shallotspindle_soak/main_test.py
@@ -72,12 +72,15 @@
         [FaultEvent(0.0, Fault.ENDLESS_BODY, 4.0, n) for n in range(8)],
         "memory",
     ),
-    "end_on_errors": ([FaultEvent(0.0, Fault.ERRORS, 2.0, 0)], "survival"),
+    "end_on_errors": (
+        [FaultEvent(0.0, Fault.ERRORS, 2.0, n) for n in range(8)],
+        "survival",
+    ),
+    # A gateway that no longer follows the store refuses keys after 4 s. Upstreams that
+    # drain long before that are certain to get requests from it.
     "trust_entries": (
-        [
-            FaultEvent(0.0, Fault.MALFORMED_ENTRIES, 6.0, 0),
-            FaultEvent(1.0, Fault.DRAIN, 0.0, 0),
-        ],
+        [FaultEvent(0.0, Fault.MALFORMED_ENTRIES, 6.0, 0)]
+        + [FaultEvent(0.1, Fault.DRAIN, 0.0, n) for n in range(4)],
         "drain",
     ),
     "ignore_leaving": ([FaultEvent(0.0, Fault.LEAVE, 0.0, 0)], "leaving"),
