Write log lines in the background and drop what nobody reads

Cause: request lines and logs were written with plain blocking writes on the event loop.

Change: a thread writes a bounded buffer of 1 MB; it sleeps while there is nothing to write. Lines that find no room are dropped and counted in lines_left_out. The entry daemon writes its logs in the same way. The counting of BlockingIOError goes, since no write of the loop can raise it.

Two tests pass the stream as an object in place of a function; what they assert is the same.

--- a/libraries/entry/shallotspindle_entry/main.py
+++ b/libraries/entry/shallotspindle_entry/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from contextlib import closing
 from pathlib import Path
 
 import uvloop
@@ -34,8 +35,10 @@
         for failure in loaded.error:
             print(failure, file=sys.stderr)
         return EXIT_INVALID_SETTINGS
-    logs.configure(loaded.ok.name)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with (
+        closing(logs.configure(loaded.ok.name)),
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
         runner.run(serve(loaded.ok))
     return 0
 
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -28,7 +28,7 @@
 from shallotspindle_gateway.pipeline import Pipeline
 from shallotspindle_gateway.records import Endpoint, Member, Settings
 from shallotspindle_gateway.renewals import PeerRenewals
-from shallotspindle_gateway.reporting import Reporter
+from shallotspindle_gateway.reporting import LineStream, Reporter, StandardOutput
 from shallotspindle_gateway.slot_lender import SlotLender
 from shallotspindle_gateway.slot_requester import SlotRequester
 from shallotspindle_gateway.stopping import StopPlan
@@ -61,6 +61,7 @@
     :param decoder: reads the documents in the store.
     :param reload: reads the settings again; None if they cannot change.
     :param early_reloads: reload signals from before the daemon handles them itself.
+    :param request_lines: takes a line for each request; None for standard output.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         clock: Clock,
         reload: Reload | None = None,
         early_reloads: EarlyReloads | None = None,
+        request_lines: LineStream | None = None,
     ) -> None:
         self._settings = settings
         self._reload = reload
@@ -145,7 +147,12 @@
             random_source,
         )
         reporter = Reporter(
-            settings.name, self.follower, clock, self.errors, self.notices
+            settings.name,
+            self.follower,
+            clock,
+            self.errors,
+            self.notices,
+            request_lines or StandardOutput(),
         )
         self._frontend = Frontend(
             settings,
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -535,7 +535,7 @@
         lines = []
         await upstreams.announce(fleet, EndlessUpstream(b"", b"\r\n"), "e0")
         daemon = await self.start_gateway(fleet)
-        daemon._frontend._reporter._write = lines.append
+        daemon._frontend._reporter._stream.write = lines.append
         await fleet.send(daemon, "/orders/1", method="POST")
         ((upstream, outcome, _, fault),) = json.loads(lines[0])["sends"]
         assert (upstream, outcome, fault) == ("e0", "truncated", "head-too-long")
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -6,8 +6,7 @@
 
 import json
 import sys
-from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -27,7 +26,28 @@
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 5.0)
 # More upstreams that were passed over make the line of a request too long.
 MAX_PASSED_OVER = 8
-LineWriter = Callable[[str], object]
+
+
+class LineStream(Protocol):
+    """Stream of log lines whose ``write`` does not block.
+
+    :ivar dropped_lines: number of lines for which there was no room.
+    """
+
+    dropped_lines: int
+
+    def write(self, text: str) -> object:
+        """Write a line."""
+
+
+class StandardOutput:
+    """Standard output as it is, for tests and tools."""
+
+    dropped_lines = 0
+
+    def write(self, text: str) -> None:
+        """Write a line."""
+        sys.stdout.write(text)
 
 
 def describe_attempt(attempt: AttemptRecord) -> list[str | float]:
@@ -45,6 +65,7 @@
 
     :param errors: the unexpected errors of the instance, for the metrics.
     :param notices: what upstreams said of themselves, for the metrics.
+    :param stream: takes the lines.
     """
 
     def __init__(
@@ -54,14 +75,14 @@
         clock: Clock,
         errors: UnexpectedErrors,
         notices: NoticeRecorder,
-        write: LineWriter | None = None,
+        stream: LineStream,
     ) -> None:
         self._instance_name = instance_name
         self._errors = errors
         self._notices = notices
         self.follower = follower
         self._clock = clock
-        self._write = write or sys.stdout.write
+        self._stream = stream
         self._log_limiter = LogLimiter(clock)
         self._registry = Registry()
         self._response_counter = Counter(
@@ -140,10 +161,7 @@
             ),
             "sends": [describe_attempt(attempt) for attempt in trace.attempts],
         }
-        try:
-            self._write(json.dumps(line) + "\n")
-        except BlockingIOError:
-            self._log_limiter.dropped_lines += 1
+        self._stream.write(json.dumps(line) + "\n")
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the Prometheus text format, with the HTTP headers."""
@@ -177,5 +195,6 @@
             "store_age": min(
                 MAX_REPORTED_AGE_SECONDS, follower.compute_response_age(now)
             ),
-            "lines_left_out": self._log_limiter.dropped_lines,
+            "lines_left_out": self._log_limiter.dropped_lines
+            + self._stream.dropped_lines,
         }
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -38,7 +38,7 @@
         SystemClock(),
         UnexpectedErrors(),
         SimpleNamespace(counts={"leaving": 3}),
-        written.append,
+        SimpleNamespace(write=written.append, dropped_lines=0),
     )
     trace = RequestTrace("id-1", 4, 1.6641, "route-1", "team-1", "service-1", "busy")
     trace.step = RequestStep.SENT
--- a/libraries/telemetry/shallotspindle_telemetry/logs.py
+++ b/libraries/telemetry/shallotspindle_telemetry/logs.py
@@ -6,6 +6,10 @@
 
 from absl import flags, logging
 
+from shallotspindle_telemetry.streams import BackgroundStream
+
+STANDARD_ERROR = 2
+
 
 class JsonFormatter(standard_logging.Formatter):
     """Formats each log record as one line with a JSON object.
@@ -30,10 +34,17 @@
         return json.dumps(fields, ensure_ascii=False)
 
 
-def configure(instance: str, level: int = logging.INFO) -> None:
-    """Send all logs of the process to standard error as JSON lines."""
+def configure(instance: str, level: int = logging.INFO) -> BackgroundStream:
+    """Send all logs of the process to standard error as JSON lines.
+
+    :returns: the stream that is written; the caller closes it at the end.
+    """
     # absl warns on standard error until its flags are marked as parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(JsonFormatter(instance))
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter(instance))
+    stream = BackgroundStream(STANDARD_ERROR)
+    handler.python_handler.stream = stream
     logging.set_verbosity(level)
+    return stream
