Split the ranking of lenders out of the slot requester

Change: the second is LenderRoster in lender_roster.py; the code is moved, the cut to MAX_LENDERS_TRIED went into its rank. Measured: the 87 tests of requester, daemon, crashes, election and notices pass unchanged but for one import.

--- a/libraries/gateway/shallotspindle_gateway/slot_requester.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Mapping, Set
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -17,8 +16,8 @@
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_core.randomness import RandomSource
 from shallotspindle_gateway import request_numbers
-from shallotspindle_gateway.election import rank_lenders, rank_substitute_lenders
 from shallotspindle_gateway.following import StoreFollower
+from shallotspindle_gateway.lender_roster import LenderRoster
 from shallotspindle_gateway.peers import PeerTransport, RequestTimedOut
 from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.upstream_notices import NoticeRecorder
@@ -36,17 +35,8 @@
 from shallotspindle_notices.notices import Obstacle
 
 RESPONSE_TIMEOUT_SECONDS = 0.1
-# A lender that did not respond is not asked for this time; each further failure doubles
-# the time up to the maximum.
-INITIAL_BACKOFF_SECONDS = 1.0
-MAX_BACKOFF_SECONDS = 8.0
 # A queued slot request is sent again in case the decision was lost.
 RESEND_INTERVAL_SECONDS = 0.2
-MAX_LENDERS_TRIED = 3
-# A domain none of whose lenders responded counts as one without instances for this
-# time. The leases show the loss of a domain just as late, and until then its upstreams
-# would get no requests.
-LOST_DOMAIN_SECONDS = 3.0
 DEFAULT_HEDGE_DELAY_SECONDS = 0.35
 # A request waits this long for a slot in its own domain before other domains are asked.
 # A request with a large body waits longer, since sending it to them is expensive.
@@ -111,18 +101,6 @@
     hedge_delay_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class LenderBackoff:
-    """Time for which a lender that did not respond is not asked.
-
-    :param until: end of the backoff, as boot-time in seconds.
-    :param duration_seconds: length of the backoff.
-    """
-
-    until: float
-    duration_seconds: float
-
-
 LenderDecision = SlotGrant | SlotRefusal
 
 
@@ -137,33 +115,6 @@
     decision: asyncio.Future[LenderDecision]
 
 
-def choose_unpopulated_domain(
-    upstream_counts: Mapping[FailureDomain, int],
-    own_domain: FailureDomain,
-    populated: Set[FailureDomain],
-    random: RandomSource,
-) -> FailureDomain | None:
-    """Return a domain without instances to be asked first, or None.
-
-    The upstreams of such a domain get requests only from the instances of other
-    domains. The populated domains share them equally, so the choice is weighted by
-    that share against the upstreams of the instance's own domain.
-
-    :param upstream_counts: number of usable upstreams by domain.
-    :param populated: domains with instances.
-    """
-    unpopulated = sorted(upstream_counts.keys() - populated - {own_domain})
-    shares = [
-        upstream_counts[domain] / max(1, len(populated)) for domain in unpopulated
-    ]
-    drawn = random.random() * (upstream_counts.get(own_domain, 0) + sum(shares))
-    for domain, share in zip(unpopulated, shares, strict=True):
-        drawn -= share
-        if drawn < 0:
-            return domain
-    return None
-
-
 class SlotRequester:
     """Owns the slot requests that wait for a decision.
 
@@ -189,8 +140,7 @@
         self._random = random
         self._request_numbers = request_numbers.count_from_random(random)
         self._pending_decisions: dict[int, PendingDecision] = {}
-        self._backoffs: dict[str, LenderBackoff] = {}
-        self._lost_until: dict[FailureDomain, float] = {}
+        self._lenders = LenderRoster(own_instance, follower, clock, random)
         peers.register(SlotGrant, self._handle_decision)
         peers.register(SlotRefusal, self._handle_decision)
 
@@ -264,7 +214,7 @@
     async def _acquire_once(
         self, requirements: SlotRequirements
     ) -> AcquiredSlot | SlotRefusal:
-        domains = self._order_domains(requirements.service)
+        domains = self._lenders.order_domains(requirements.service)
         if not domains:
             return SlotRefusal(0, RefusalReason.NO_UPSTREAM, 1.0)
         refusal = SlotRefusal(0, RefusalReason.NO_RESPONSE, 0.5)
@@ -355,83 +305,21 @@
         elif isinstance(slot := queued.result(), AcquiredSlot) and slot is not used:
             self.release_slot(requirements, slot, Outcome.CANCELLED, 0.0)
 
-    def _order_domains(self, service: ServiceName) -> list[FailureDomain]:
-        counts = self._follower.upstreams.count_usable_by_domain(service)
-        populated = self._find_populated_domains()
-        own_domain = self._own_instance.domain
-        others = sorted(domain for domain in counts if domain != own_domain)
-        if others:
-            first = self._random.randrange(len(others))
-            others = others[first:] + others[:first]
-        ordered = [own_domain, *others] if own_domain in counts else others
-        first = choose_unpopulated_domain(counts, own_domain, populated, self._random)
-        return [first, *(d for d in ordered if d != first)] if first else ordered
-
-    def _find_populated_domains(self) -> set[FailureDomain]:
-        """Return the failure domains whose instances lend their upstreams."""
-        domains = {member.domain for member in self._follower.members.values()}
-        return {domain for domain in domains if not self._is_lost(domain)}
-
-    def _is_lost(self, domain: FailureDomain) -> bool:
-        """Return whether none of the lenders of a domain responded recently."""
-        return self._clock.boottime() < self._lost_until.get(domain, float("-inf"))
-
-    def _rank_lenders(self, service: ServiceName, domain: FailureDomain) -> list[str]:
-        """Return the lenders to ask, without those in backoff."""
-        now = self._clock.boottime()
-        rank = rank_substitute_lenders if self._is_lost(domain) else rank_lenders
-        ranked = rank(service, domain, self._follower.members.values())
-        return [lender for lender in ranked if not self._is_in_backoff(lender, now)]
-
-    def _is_in_backoff(self, lender: str, now: float) -> bool:
-        backoff = self._backoffs.get(lender)
-        return backoff is not None and now < backoff.until
-
-    def _start_backoff(self, lender: str, service: ServiceName) -> None:
-        previous = self._backoffs.get(lender)
-        duration = min(
-            MAX_BACKOFF_SECONDS,
-            2 * previous.duration_seconds if previous else INITIAL_BACKOFF_SECONDS,
-        )
-        self._backoffs[lender] = LenderBackoff(
-            self._clock.boottime() + duration, duration
-        )
-        logging.info(
-            "lender %s of service %s did not respond; not asking it for %.0f s",
-            lender,
-            service,
-            duration,
-        )
-
     async def _acquire_in_domain(
         self, domain: FailureDomain, requirements: SlotRequirements, wait_seconds: float
     ) -> AcquiredSlot | SlotRefusal | None:
         """Return the decision of a domain's lender, or None if none responded."""
-        for lender in self._rank_lenders(requirements.service, domain)[
-            :MAX_LENDERS_TRIED
-        ]:
+        for lender in self._lenders.rank(requirements.service, domain):
             result = await self._acquire_from(
                 lender, domain, requirements, wait_seconds
             )
             if result is not None:
-                self._backoffs.pop(lender, None)
+                self._lenders.record_response(lender)
                 return result
-            self._start_backoff(lender, requirements.service)
-        self._mark_lost(domain)
+            self._lenders.record_silence(lender, requirements.service)
+        self._lenders.mark_lost(domain)
         return None
 
-    def _mark_lost(self, domain: FailureDomain) -> None:
-        """Let other domains lend for a domain whose lenders do not respond."""
-        if domain == self._own_instance.domain or self._is_lost(domain):
-            return
-        self._lost_until[domain] = self._clock.boottime() + LOST_DOMAIN_SECONDS
-        logging.info(
-            "no lender of failure domain %s responded; other domains lend its "
-            "upstreams for %.0f s",
-            domain,
-            LOST_DOMAIN_SECONDS,
-        )
-
     def _build_request(
         self, domain: FailureDomain, requirements: SlotRequirements, wait_seconds: float
     ) -> SlotRequest:
--- a/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
+++ b/libraries/gateway/shallotspindle_gateway/slot_requester_test.py
@@ -6,12 +6,12 @@
 
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 from shallotspindle_environment.clock import SystemClock
+from shallotspindle_gateway.lender_roster import choose_unpopulated_domain
 from shallotspindle_gateway.records import Member
 from shallotspindle_gateway.slot_requester import (
     AcquiredSlot,
     SlotRequester,
     SlotRequirements,
-    choose_unpopulated_domain,
 )
 from shallotspindle_gateway.upstream_notices import NoticeRecorder
 from shallotspindle_lending.crashes import CrashTracker
