Let a malformed record of a crash affect itself alone

Found on reading the change again: the records under a key of the store were checked as one document, so that one odd record, of another writer or written from a crash whose peer had sent a negative fingerprint or an empty name, made all instances ignore the others under the key and ended their quarantines.

Change: each record is checked by itself, and a malformed one is left out with a log line. Fingerprints in messages are bounded to 64 bits where they are decoded. Kinds, fields and the stored form stay the same.

--- a/libraries/core/shallotspindle_core/bounds.py
+++ b/libraries/core/shallotspindle_core/bounds.py
@@ -24,6 +24,8 @@
 MAX_COUNTER = 2**53 - 1
 # Largest integer that fits into a signed field of 64 bits.
 MAX_REVISION = 2**63 - 1
+# Largest hash of 64 bits.
+MAX_FINGERPRINT = 2**64 - 1
 
 
 class Constraint(Protocol):
@@ -55,6 +57,7 @@
 # A time from now; one in the past is negative.
 Seconds = Annotated[float, Range(-MAX_SECONDS, MAX_SECONDS)]
 Revision = Annotated[int, Range(0, MAX_REVISION)]
+Fingerprint = Annotated[int, Range(0, MAX_FINGERPRINT)]
 UnixMilliseconds = Annotated[int, Range(0, MAX_COUNTER)]
 Address = Annotated[str, AddressFormat()]
 Priority = Annotated[int, Range(-MAX_PRIORITY, MAX_PRIORITY)]
--- a/libraries/gateway/shallotspindle_gateway/crash_recording_test.py
+++ b/libraries/gateway/shallotspindle_gateway/crash_recording_test.py
@@ -187,6 +187,21 @@
         assert POISON in kept
         assert len(kept) > 100
 
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            b'"-00000000000005":[1,["u0"],0,0]',
+            b'"000000000000004e":[1,[""],0,0]',
+            b'"000000000000004e":5',
+            b'"000000000000004e":[1,["u0"],0]',
+        ],
+    )
+    def test_a_malformed_record_is_left_out_by_itself(self, odd):
+        # Guards against one odd record that ends the quarantines of all others.
+        value = b'{"000000000000004d":[3,["u0","u1"],0,0],' + odd + b"}"
+        decoded = stored_forms.decode_crashes(StoredValue(KEY, value, 1))
+        assert decoded.ok == {POISON: CrashRecord(3, ("u0", "u1"), 0)}
+
     @pytest.mark.parametrize(
         "value", [b"", b"5", b'{"x":[1,[],0,0]}', b'{"000000000000004d":[-1,[],0,0]}']
     )
--- a/libraries/gateway/shallotspindle_gateway/stored_forms.py
+++ b/libraries/gateway/shallotspindle_gateway/stored_forms.py
@@ -6,7 +6,9 @@
 
 import json
 from collections.abc import Mapping
+from typing import Any
 
+from absl import logging
 from expression import Result
 from pydantic import TypeAdapter
 
@@ -41,10 +43,11 @@
 
 MEMBER_ADAPTER = TypeAdapter(tuple[Ipv4Address, Name, Megabits])
 HOLDER_ADAPTER = TypeAdapter(tuple[Ipv4Address, Name])
-# By fingerprint in hexadecimal: the number of crashes, the names of upstreams, the Unix
+CRASHES_ADAPTER = TypeAdapter(dict[str, Any])
+# Fingerprint in hexadecimal, the number of crashes, the names of upstreams, the Unix
 # time of the last crash in seconds, and the number of trials.
-CRASHES_ADAPTER = TypeAdapter(
-    dict[Fingerprint, tuple[Counter, tuple[Name, ...], Counter, Counter]]
+CRASH_ADAPTER = TypeAdapter(
+    tuple[Fingerprint, Counter, tuple[Name, ...], Counter, Counter]
 )
 
 
@@ -107,18 +110,22 @@
 
 
 def decode_crashes(stored: StoredValue) -> Result[dict[int, CrashRecord], Failure]:
-    """Return the records of crashes that are stored under a key."""
+    """Return the valid records of crashes that are stored under a key."""
     decoded = documents.decode_with(CRASHES_ADAPTER, stored.key, stored.value)
-    return decoded.map(
-        lambda document: {
-            int(fingerprint, 16): CrashRecord(
-                count, tuple(map(UpstreamName, names)), last_crash_at, trials
-            )
-            for fingerprint, (
-                count,
-                names,
-                last_crash_at,
-                trials,
-            ) in document.items()
-        }
-    )
+    return decoded.map(lambda document: _select_valid_crashes(stored.key, document))
+
+
+def _select_valid_crashes(key: str, document: dict[str, Any]) -> dict[int, CrashRecord]:
+    """Return the records of a document; a malformed one is left out by itself."""
+    records = {}
+    for fingerprint, fields in document.items():
+        values = fields if isinstance(fields, list) else [fields]
+        checked = documents.check_with(CRASH_ADAPTER, key, [fingerprint, *values])
+        if checked.is_error():
+            logging.warning("ignored a record of crashes: %s", checked.error)
+            continue
+        _, count, names, last_crash_at, trials = checked.ok
+        records[int(fingerprint, 16)] = CrashRecord(
+            count, tuple(map(UpstreamName, names)), last_crash_at, trials
+        )
+    return records
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -4,7 +4,13 @@
 from enum import StrEnum
 from typing import ClassVar
 
-from shallotspindle_core.bounds import Address, Priority, Seconds, UnixMilliseconds
+from shallotspindle_core.bounds import (
+    Address,
+    Fingerprint,
+    Priority,
+    Seconds,
+    UnixMilliseconds,
+)
 from shallotspindle_core.identifiers import FailureDomain, ServiceName, UpstreamName
 
 
@@ -76,7 +82,7 @@
     deadline_seconds: Seconds
     objective_seconds: Seconds
     max_wait_seconds: Seconds
-    fingerprint: int
+    fingerprint: Fingerprint
     excluded_upstreams: tuple[UpstreamName, ...] = ()
     route_hash: int = 0
 
@@ -145,7 +151,7 @@
 
     KIND: ClassVar[str] = "crashseen"
 
-    fingerprint: int
+    fingerprint: Fingerprint
     upstream: UpstreamName
 
 
@@ -156,7 +162,7 @@
     :param fingerprint: hash of the request.
     """
 
-    fingerprint: int
+    fingerprint: Fingerprint
 
 
 @dataclass(frozen=True, slots=True)
