Count rejected arrivals as retries in the soak

The users' rule BUDGET counts arrivals that an endpoint rejects; the check `repeats` counted executions only, so a gateway that floods upstreams which shed was not noticed.

Change: upstreams that shed are recorded like those that ask for a pause, and both count as arrivals. The check is stricter, no bound changed.

test_rejected_retries_count_too failed on the former check (no violation for 19 rejected retries of 40 requests, 18 allowed) and passes now.

--- a/libraries/soak/shallotspindle_soak/promises.py
+++ b/libraries/soak/shallotspindle_soak/promises.py
@@ -185,14 +185,16 @@
 
 
 def check_retries(history: History) -> Iterator[Violation]:
-    """Retries stay within the retry budget, over all gateways."""
-    retries = [
-        execution.started_at
-        for executions in group_executions(history).values()
-        for execution in sorted(executions, key=lambda execution: execution.started_at)[
-            1:
-        ]
-    ]
+    """Retries stay within the retry budget, over all gateways.
+
+    Those that an upstream rejects without an execution count too.
+    """
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for execution in history.executions:
+        arrivals[execution.request_id].append(execution.started_at)
+    for rejection in history.rejections:
+        arrivals[rejection.request_id].append(rejection.rejected_at)
+    retries = [time for times in arrivals.values() for time in sorted(times)[1:]]
     sent_times = [call.sent_at for call in history.calls]
     # The busiest window of the history is an upper bound for every window.
     requests = _count_most_in_window(sent_times, RETRY_WINDOW_SECONDS)
--- a/libraries/soak/shallotspindle_soak/promises_test.py
+++ b/libraries/soak/shallotspindle_soak/promises_test.py
@@ -135,6 +135,19 @@
         history.executions += retries[18:19]
         assert list_violations(history) == ["repeats"]
 
+    def test_rejected_retries_count_too(self):
+        # Guards against a fleet that floods upstreams which shed: each retry that they
+        # reject is an arrival, although nothing is executed.
+        history = build_read_history(40)
+        history.rejections += [
+            Rejection(call.request_id, "u2", call.sent_at + 0.1, 0.0)
+            for call in history.calls[:18]
+        ]
+        assert list_violations(history) == []
+        first = history.rejections[0]
+        history.rejections.append(replace(first, upstream="u3"))
+        assert list_violations(history) == ["repeats"]
+
     def test_new_request_to_a_drained_upstream_is_reported(self):
         history = build_history(ORDER, EXECUTION, drained_upstreams={"u1": 7.0})
         assert list_violations(history) == ["drain"]
--- a/libraries/soak/shallotspindle_soak/records.py
+++ b/libraries/soak/shallotspindle_soak/records.py
@@ -68,9 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
-    """A request that an upstream rejected with a wish for a pause.
+    """A request that an upstream rejected without an execution.
 
-    :param pause_seconds: time for which the upstream wants no request.
+    :param pause_seconds: time for which the upstream wants no request; 0 if it asked
+        for no pause.
     """
 
     request_id: str
@@ -105,7 +106,7 @@
     :param gateway_faults: when a gateway or its connections were disturbed, by gateway;
         the empty name stands for all gateways.
     :param gateway_halts: when a gateway process was paused or killed, by gateway.
-    :param rejections: requests that were rejected with a wish for a pause.
+    :param rejections: requests that upstreams rejected without an execution.
     :param stopping_gateways: gateways that are in a graceful shutdown now.
     :param upstream_link_faults: when the connections to some upstream were disturbed.
     :param rate_limits: requests per second and burst by team.
--- a/libraries/soak/shallotspindle_soak/upstreams.py
+++ b/libraries/soak/shallotspindle_soak/upstreams.py
@@ -109,10 +109,9 @@
         # In a gray failure some requests still succeed: here, every fourth.
         mode = self.mode if self._request_count % 4 else UpstreamMode.NORMAL
         if self.mode is UpstreamMode.PAUSE:
-            return self._reject_for_pause(request_id)
+            return self._reject(request_id, PAUSE_SECONDS)
         if mode is UpstreamMode.SHED:
-            headers = {header_names.request_id: request_id, header_names.not_run: "1"}
-            return web.Response(status=503, headers=headers)
+            return self._reject(request_id)
         async with self._record_execution(request, request_id, len(body)):
             await asyncio.sleep(self.service_time_seconds)
             if mode is UpstreamMode.HANG:
@@ -121,16 +120,21 @@
                 await self._send_endless_response(request, ENDLESS_CHUNKS[mode])
         return await self._respond(request, request_id, body, mode)
 
-    def _reject_for_pause(self, request_id: str) -> web.Response:
+    def _reject(self, request_id: str, pause_seconds: float = 0.0) -> web.Response:
+        """Return a refusal without execution.
+
+        :param pause_seconds: time for which no request is wanted; 0 if it says nothing.
+        """
         rejection = Rejection(
-            request_id, self.name, self._clock.boottime(), PAUSE_SECONDS
+            request_id, self.name, self._clock.boottime(), pause_seconds
         )
         self._history.rejections.append(rejection)
         headers = {
             self._header_names.request_id: request_id,
             self._header_names.not_run: "1",
-            "Retry-After": f"{PAUSE_SECONDS}",
         }
+        if pause_seconds:
+            headers["Retry-After"] = f"{pause_seconds}"
         return web.Response(status=503, headers=headers)
 
     @asynccontextmanager
