Keep a partition until its last reserved token is due

Cause: a holder reserves tokens up to 1 s ahead and gave its partitions up at once; its successor granted the same time again. A process that restarts after a kill takes its partitions over before the lease ends, with the same effect.

Change: the buckets know when the last token is due. A holder that stops keeps its lease until then and reserves nothing beyond; one whose lease ends reserves nothing beyond its end; a restarted process lets its tokens start 1 s after itself, the longest reservation. What is too early for the former holder is asked of the next one. No message or stored form changed.

--- a/libraries/gateway/shallotspindle_gateway/admission.py
+++ b/libraries/gateway/shallotspindle_gateway/admission.py
@@ -20,7 +20,7 @@
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Bounds
 from shallotspindle_limits import waits
-from shallotspindle_limits.leased_buckets import Reservation, TeamBuckets
+from shallotspindle_limits.leased_buckets import Exhausted, Reservation, TeamBuckets
 from shallotspindle_limits.records import Limit
 
 RESPONSE_TIMEOUT_SECONDS = 0.1
@@ -58,6 +58,14 @@
         self._buckets: dict[str, tuple[float, TeamBuckets]] = {}
         peers.register(TokenRequest, self._handle_request)
 
+    @property
+    def reserved_until(self) -> float:
+        """When the last token that this instance granted is due, as boot-time."""
+        return max(
+            (buckets.reserved_until for _, buckets in self._buckets.values()),
+            default=float("-inf"),
+        )
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new bounds; buckets keep their window until their holder changes."""
         self._window_seconds = bounds.rate_window_seconds
@@ -124,8 +132,16 @@
             )
         limit = Limit(team.rate, team.burst)
         decision = entry[1].take(
-            team.name, limit, request.wait_seconds, now, request.new_holder_wait_seconds
+            team.name,
+            limit,
+            request.wait_seconds,
+            now,
+            request.new_holder_wait_seconds,
+            self._ownership.acts_until,
         )
-        if isinstance(decision, Reservation):
-            return TokenGrant(decision.wait_seconds)
-        return TokenDenial(decision.retry_after)
+        match decision:
+            case Reservation(wait_seconds=wait_seconds):
+                return TokenGrant(wait_seconds)
+            case Exhausted(retry_after=retry_after):
+                return TokenDenial(retry_after)
+        return NotHolder()
--- a/libraries/gateway/shallotspindle_gateway/daemon.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon.py
@@ -247,7 +247,7 @@
         )
         self._lifecycle.stage = Stage.STOPPING
         self._pipeline.begin_stop(plan)
-        await self.ownership.leave()
+        await self.ownership.leave(self._admission.reserved_until)
         await self._sleep_until(plan.close_idle_at)
         self._frontend.close_idle_connections()
         await self._sleep_until(plan.close_listener_at)
--- a/libraries/gateway/shallotspindle_gateway/ownership.py
+++ b/libraries/gateway/shallotspindle_gateway/ownership.py
@@ -33,6 +33,7 @@
     PARTITION_KEYS,
     PARTITION_PREFIX,
 )
+from shallotspindle_limits import waits
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LEASE_SECONDS = 3.0
@@ -79,6 +80,8 @@
         self._lease: Lease | None = None
         self._valid_until = float("-inf")
         self._is_leaving = False
+        # When a leaving instance gives up its partitions, as boot-time in seconds.
+        self._gives_up_at = float("inf")
         # Revision of the write of this instance's member key.
         self._member_revision = 0
         self._started_at = clock.boottime()
@@ -87,16 +90,25 @@
         self._wakeup = asyncio.Event()
         # When this instance acquired each partition, as boot-time in seconds.
         self._held_since: dict[str, float] = {}
+        # Partitions that a former process at this address held when it ended.
+        self._inherited_partitions: set[str] = set()
         # Writes of this instance that the view of the store does not show yet.
         self._pending_writes: dict[str, PartitionHolder] = {}
         follower.subscribe(self._handle_store_change)
 
+    @property
+    def acts_until(self) -> float:
+        """Until when this instance may act on its partitions, as boot-time."""
+        return min(self._valid_until, self._gives_up_at)
+
     def find_held_since(self, partition: str, now: float) -> float | None:
         """Return since when this instance holds a partition, or None if it may not act.
 
         :param partition: key of the partition.
+        :returns: as boot-time in seconds. It may lie in the future; see
+            ``_compute_held_since``.
         """
-        if self._is_leaving or now >= self._valid_until:
+        if now >= self.acts_until:
             return None
         return self._held_since.get(partition)
 
@@ -129,9 +141,16 @@
             except TimeoutError:
                 continue
 
-    async def leave(self) -> None:
-        """Give up membership and partitions; this instance no longer acts on them."""
+    async def leave(self, reserved_until: float = float("-inf")) -> None:
+        """Give up membership and partitions; this instance no longer acts on them.
+
+        :param reserved_until: when the last reserved token is due, as boot-time in
+            seconds. The successor starts after it.
+        """
         self._is_leaving = True
+        now = self._clock.boottime()
+        self._gives_up_at = max(now, min(reserved_until, self._valid_until))
+        await asyncio.sleep(self._gives_up_at - now)
         self._drop_partitions()
         if self._lease is None:
             return
@@ -147,12 +166,22 @@
         )
         for key in PARTITION_KEYS:
             if self._is_own(self._find_registered(key)):
-                self._held_since.setdefault(key, now)
+                self._held_since.setdefault(key, self._compute_held_since(key, now))
             else:
                 self._held_since.pop(key, None)
         if self._list_free_partitions():
             self._wakeup.set()
 
+    def _compute_held_since(self, partition: str, now: float) -> float:
+        """Return from when on a partition that is acquired now has new tokens.
+
+        Tokens that a former process at this address granted before it was killed may
+        still be due after this process has started.
+        """
+        if partition not in self._inherited_partitions:
+            return now
+        return max(now, self._started_at + waits.MAX_WAIT_SECONDS)
+
     async def _maintain(self) -> float:
         """Renew the lease and acquire free partitions.
 
@@ -254,6 +283,7 @@
         for key in PARTITION_KEYS:
             holder = self._find_registered(key)
             if self._is_held_by_former_process(holder):
+                self._inherited_partitions.add(key)
                 free[key] = holder.revision
             elif self._is_unheld(holder, now) and self._is_preferred_holder(key):
                 free[key] = holder.revision if holder else 0
@@ -327,7 +357,7 @@
             return written
         now = self._clock.boottime()
         for key in expected:
-            self._held_since[key] = now
+            self._held_since[key] = self._compute_held_since(key, now)
             self._pending_writes[key] = PartitionHolder(
                 address, self._incarnation, written.ok
             )
--- a/libraries/limits/shallotspindle_limits/leased_buckets.py
+++ b/libraries/limits/shallotspindle_limits/leased_buckets.py
@@ -1,12 +1,15 @@
 """Token buckets of teams whose whole limit is enforced by one holder under a lease.
 
 A new holder starts with empty buckets, because it does not know what its predecessor
-granted. At most ``rate * t + burst`` requests are therefore admitted in every window of
-t seconds, also across a change of the holder. Where a deployment counts requests in
+granted. A holder reserves no token that is due after it has given up the lease, and it
+keeps the lease until its last reservation is due. At most ``rate * t + burst`` requests
+are therefore admitted in every window of t seconds, also across a change of the holder.
+Where a deployment counts requests in
 windows of one fixed length, half of the burst is converted to a higher rate, so that a
 team that always sends more than its limit can use all of each window.
 """
 
+import math
 from dataclasses import dataclass
 
 from shallotspindle_core.identifiers import TeamName
@@ -48,6 +51,11 @@
     retry_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class HolderEnds:
+    """The token will be granted by the next holder."""
+
+
 def convert_burst_to_rate(limit: Limit, window_seconds: float) -> Limit:
     """Return a limit with half of the burst that admits as much in a full window.
 
@@ -60,12 +68,15 @@
 class TeamBuckets:
     """Buckets of the teams whose limits are enforced under one lease.
 
-    :param held_since: when this holder acquired the lease, in seconds.
+    :param held_since: when this holder acquired the lease, in seconds. It may lie in
+        the future if reservations of its predecessor are due until then.
     :param window_seconds: length of the windows in which requests are counted; None
         if the limit applies to windows of every length.
+    :ivar reserved_until: when the last reserved token is due, in seconds.
     """
 
     def __init__(self, held_since: float, window_seconds: float | None = None) -> None:
+        self.reserved_until = held_since
         self._held_since = held_since
         self._window_seconds = window_seconds
         self._buckets: dict[TeamName, TeamBucket] = {}
@@ -77,12 +88,14 @@
         max_wait_seconds: float,
         now: float,
         new_holder_wait_seconds: float = 0.0,
-    ) -> Reservation | Exhausted:
+        held_until: float = math.inf,
+    ) -> Reservation | Exhausted | HolderEnds:
         """Take a token that is available now or within the allowed wait.
 
         :param max_wait_seconds: how long the request may wait for a token.
         :param new_holder_wait_seconds: how long it may wait during
             ``NEW_HOLDER_SECONDS`` after the lease was acquired, if that is longer.
+        :param held_until: when this holder gives up the lease, in seconds.
         """
         if now - self._held_since < NEW_HOLDER_SECONDS:
             max_wait_seconds = max(max_wait_seconds, new_holder_wait_seconds)
@@ -92,8 +105,12 @@
         added = max(0.0, now - bucket.filled_until) * limit.rate
         bucket.tokens = min(max(1.0, limit.burst), bucket.tokens + added)
         bucket.filled_until = max(now, bucket.filled_until)
-        wait = max(0.0, (1.0 - bucket.tokens) / limit.rate)
+        due_at = bucket.filled_until + max(0.0, (1.0 - bucket.tokens) / limit.rate)
+        wait = due_at - now
         if wait > max_wait_seconds:
             return Exhausted(min(MAX_RETRY_AFTER_SECONDS, wait))
+        if due_at > held_until:
+            return HolderEnds()
         bucket.tokens -= 1.0
+        self.reserved_until = max(self.reserved_until, due_at)
         return Reservation(wait)
--- a/libraries/limits/shallotspindle_limits/leased_buckets_test.py
+++ b/libraries/limits/shallotspindle_limits/leased_buckets_test.py
@@ -2,7 +2,12 @@
 from hypothesis import strategies as st
 
 from shallotspindle_core.identifiers import TeamName
-from shallotspindle_limits.leased_buckets import Exhausted, Reservation, TeamBuckets
+from shallotspindle_limits.leased_buckets import (
+    Exhausted,
+    HolderEnds,
+    Reservation,
+    TeamBuckets,
+)
 from shallotspindle_limits.records import Limit
 
 TEAM = TeamName("museum")
@@ -117,3 +122,40 @@
         assert all(
             admitted_at[n] >= (n + 1) / 10.0 - 1e-6 for n in range(len(admitted_at))
         )
+
+
+class TestHandovers:
+    def test_no_token_is_reserved_beyond_the_lease(self):
+        # Guards against a token that is used while the next holder grants tokens.
+        buckets = TeamBuckets(0.0)
+        taken = [buckets.take(TEAM, LIMIT, 0.5, 0.0, held_until=0.25) for _ in range(3)]
+        assert taken[:2] == [Reservation(0.1), Reservation(0.2)]
+        assert taken[2] == HolderEnds()
+        assert buckets.reserved_until == 0.2
+
+    @given(
+        st.lists(st.floats(0.0, 0.3), min_size=1, max_size=120),
+        st.sets(st.integers(0, 119)),
+        st.floats(0.0, 1.0),
+    )
+    def test_no_window_over_handovers_admits_more_than_rate_and_burst(
+        self, gaps, handovers, wait
+    ):
+        # Guards against tokens that were reserved before a handover and are used while
+        # the next holder grants the same time again.
+        buckets, now, gives_up_at = TeamBuckets(0.0), 0.0, float("inf")
+        admitted_at = []
+        for number, gap in enumerate(gaps):
+            now += gap
+            if number in handovers and gives_up_at == float("inf"):
+                gives_up_at = max(now, buckets.reserved_until)
+            if now >= gives_up_at:
+                buckets, gives_up_at = TeamBuckets(now), float("inf")
+            taken = buckets.take(TEAM, LIMIT, wait, now, held_until=gives_up_at)
+            if isinstance(taken, Reservation):
+                admitted_at.append(now + taken.wait_seconds)
+        admitted_at.sort()
+        for first, start in enumerate(admitted_at):
+            for last in range(first, len(admitted_at)):
+                allowed = LIMIT.rate * (admitted_at[last] - start) + LIMIT.burst
+                assert last - first + 1 <= allowed + 1 + 1e-6
