Read stored withdrawals at each poll while there are no peers

Cause: it read the stored withdrawals only at its start, while each contact with the store counted as fresh.

Change: an instance without peers reads them at each poll, before the contact counts. Others hear of them from peers as before.

TestWithdrawals failed before for an instance without peers (1 read in two polls) and passes now.

--- a/libraries/entry/shallotspindle_entry/bundle_following.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following.py
@@ -142,7 +142,7 @@
                 data.error,
             )
             return
-        if not self._has_read_withdrawals and not await self.read_withdrawals():
+        if self._must_read_withdrawals() and not await self.read_withdrawals():
             return
         is_loaded = bool(data.ok) and await self._owner.load(self.source, data.ok)
         if is_loaded or not data.ok or self._owner.is_bundle_rejected:
@@ -151,12 +151,16 @@
             await self._owner.confirm()
         await self.store_withdrawals()
 
-    async def read_withdrawals(self) -> bool:
-        """Read the withdrawals in the store; return whether the store responded.
+    def _must_read_withdrawals(self) -> bool:
+        """Return whether the withdrawals are read from the store.
 
         A new instance needs them before it is ready, since it may not have heard from
-        any peer yet.
+        any peer yet, and one without peers hears of new ones nowhere else.
         """
+        return not self._has_read_withdrawals or not self._list_peers()
+
+    async def read_withdrawals(self) -> bool:
+        """Read the withdrawals in the store; return whether the store responded."""
         entries = await self._store.list(withdrawal.WITHDRAWAL_PREFIX)
         if entries.is_error():
             return False
--- a/libraries/entry/shallotspindle_entry/bundle_following_test.py
+++ b/libraries/entry/shallotspindle_entry/bundle_following_test.py
@@ -4,6 +4,7 @@
 
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import Incarnation
+from shallotspindle_entry import bundle_messages as messages
 from shallotspindle_entry.bundle_following import StoreFollower
 from shallotspindle_environment.memory import MemoryStore
 from shallotspindle_settings import manifest
@@ -15,6 +16,7 @@
 class FakeOwner:
     """Owner of a bundle that loads it, fails to read it or rejects it.
 
+    :ivar messages: what it was asked.
     :ivar contacts_during_load: last contact that was known while bundles were loaded.
     """
 
@@ -26,6 +28,7 @@
         self.is_bundle_rejected = is_rejected
         self._can_load = can_load
         self.contacts_during_load: list[float] = []
+        self.messages: list[object] = []
         self.follower: StoreFollower | None = None
 
     def list_withdrawals(self):
@@ -39,7 +42,7 @@
         """Accept the confirmation."""
 
     async def ask(self, message):
-        return None
+        self.messages.append(message)
 
 
 class TestStoreContacts:
@@ -71,3 +74,25 @@
         )
         await follower.poll()
         assert follower.last_contact_at == 100.0
+
+
+class TestWithdrawals:
+    @pytest.mark.parametrize(("peers", "count"), [((), 2), ((Incarnation("two"),), 1)])
+    async def test_an_instance_without_peers_reads_them_at_each_poll(
+        self, peers, count
+    ):
+        # Guards against a withdrawn key that works on at an instance that is cut off
+        # from its peers: the contact with the store kept its keys fresh.
+        store, owner = MemoryStore(), FakeOwner(True, False)
+        clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC), 100.0)
+        follower = StoreFollower(
+            store, owner, clock, Incarnation("one"), lambda: peers, UnexpectedErrors()
+        )
+        await follower.poll()
+        await follower.poll()
+        notices = [
+            item
+            for item in owner.messages
+            if isinstance(item, messages.WithdrawalsNotice)
+        ]
+        assert len(notices) == count
