Bound the calls that store crashing requests at the entry daemon

Cause: each quarantined request takes two calls of the store, and all were written at once. When many upstreams end together, hundreds of requests may be quarantined, and the calls of the store are needed for sessions.

Change: one request a second and instance, taken in turn.

--- a/libraries/entry/shallotspindle_entry/crash_storing.py
+++ b/libraries/entry/shallotspindle_entry/crash_storing.py
@@ -27,7 +27,9 @@
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 CHECK_INTERVAL_SECONDS = 0.2
-RETRY_DELAY_SECONDS = 1.0
+# Many upstreams that end at once may put many requests in quarantine; their writes must
+# not use up the calls of the store.
+WRITE_INTERVAL_SECONDS = 1.0
 
 
 class CrashStoring(Service):
@@ -44,15 +46,16 @@
         self._store = store
         self._balancing = balancing
         self._clock = clock
+        self._attempts = 0
 
     async def start(self) -> None:
         self.start_event.set()
         has_read = False
         while True:
-            delay = RETRY_DELAY_SECONDS
+            delay = WRITE_INTERVAL_SECONDS
             with self.errors.absorb("requests that crash upstreams"):
                 has_read = has_read or await self.read()
-                if await self.write() and has_read:
+                if has_read and not await self.write_next():
                     delay = CHECK_INTERVAL_SECONDS
             await asyncio.sleep(delay)
 
@@ -73,14 +76,20 @@
         age_seconds = max(0.0, self._clock.now().timestamp() - model.crashed_at)
         return CrashNotice(int(model.fingerprint, 16), model.upstreams, age_seconds)
 
-    async def write(self) -> bool:
-        """Store the requests that are new; return whether the store took all."""
+    async def write_next(self) -> bool:
+        """Store a request that is new; return whether there was one.
+
+        A request that cannot be stored does not hold up the others.
+        """
         notices = await self._balancing.ask(UnstoredCrashesRequest())
-        stored = [await self._write(notice) for notice in notices]
-        return all(stored)
+        if not notices:
+            return False
+        self._attempts += 1
+        await self._write(notices[self._attempts % len(notices)])
+        return True
 
-    async def _write(self, notice: CrashNotice) -> bool:
-        """Store a request; return whether it is stored.
+    async def _write(self, notice: CrashNotice) -> None:
+        """Store a request, unless the store fails.
 
         The key names the request, so an existing entry means that it is stored.
         """
@@ -89,11 +98,10 @@
         remaining = math.ceil(QUARANTINE_SECONDS - notice.age_seconds)
         lease = await self._store.grant_lease(max(1, remaining))
         if lease.is_error():
-            return False
+            return
         key = crash.build_key(notice.fingerprint)
         written = await self._store.replace(key, data, 0, lease.ok)
         if written.is_error() and not isinstance(written.error, Conflict):
             logging.warning("could not store a crashing request: %s", written.error)
-            return False
+            return
         self._balancing.tell(CrashStored(notice.fingerprint))
-        return True
