--- a/libraries/gateway/shallotspindle_gateway/ownership.py
+++ b/libraries/gateway/shallotspindle_gateway/ownership.py
@@ -33,7 +33,6 @@
     PARTITION_KEYS,
     PARTITION_PREFIX,
 )
-from shallotspindle_limits import waits
 from shallotspindle_telemetry.unexpected import UnexpectedErrors
 
 LEASE_SECONDS = 3.0
@@ -90,8 +89,6 @@
         self._wakeup = asyncio.Event()
         # When this instance acquired each partition, as boot-time in seconds.
         self._held_since: dict[str, float] = {}
-        # Partitions that a former process at this address held when it ended.
-        self._inherited_partitions: set[str] = set()
         # Writes of this instance that the view of the store does not show yet.
         self._pending_writes: dict[str, PartitionHolder] = {}
         follower.subscribe(self._handle_store_change)
@@ -105,8 +102,7 @@
         """Return since when this instance holds a partition, or None if it may not act.
 
         :param partition: key of the partition.
-        :returns: as boot-time in seconds. It may lie in the future; see
-            ``_compute_held_since``.
+        :returns: as boot-time in seconds.
         """
         if now >= self.acts_until:
             return None
@@ -166,22 +162,12 @@
         )
         for key in PARTITION_KEYS:
             if self._is_own(self._find_registered(key)):
-                self._held_since.setdefault(key, self._compute_held_since(key, now))
+                self._held_since.setdefault(key, now)
             else:
                 self._held_since.pop(key, None)
         if self._list_free_partitions():
             self._wakeup.set()
 
-    def _compute_held_since(self, partition: str, now: float) -> float:
-        """Return from when on a partition that is acquired now has new tokens.
-
-        Tokens that a former process at this address granted before it was killed may
-        still be due after this process has started.
-        """
-        if partition not in self._inherited_partitions:
-            return now
-        return max(now, self._started_at + waits.MAX_WAIT_SECONDS)
-
     async def _maintain(self) -> float:
         """Renew the lease and acquire free partitions.
 
@@ -283,7 +269,6 @@
         for key in PARTITION_KEYS:
             holder = self._find_registered(key)
             if self._is_held_by_former_process(holder):
-                self._inherited_partitions.add(key)
                 free[key] = holder.revision
             elif self._is_unheld(holder, now) and self._is_preferred_holder(key):
                 free[key] = holder.revision if holder else 0
@@ -357,7 +342,7 @@
             return written
         now = self._clock.boottime()
         for key in expected:
-            self._held_since[key] = self._compute_held_since(key, now)
+            self._held_since[key] = now
             self._pending_writes[key] = PartitionHolder(
                 address, self._incarnation, written.ok
             )
--- a/libraries/limits/shallotspindle_limits/leased_buckets.py
+++ b/libraries/limits/shallotspindle_limits/leased_buckets.py
@@ -3,10 +3,11 @@
 A new holder starts with empty buckets, because it does not know what its predecessor
 granted. A holder reserves no token that is due after it has given up the lease, and it
 keeps the lease until its last reservation is due. At most ``rate * t + burst`` requests
-are therefore admitted in every window of t seconds, also across a change of the holder.
-Where a deployment counts requests in
-windows of one fixed length, half of the burst is converted to a higher rate, so that a
-team that always sends more than its limit can use all of each window.
+are therefore admitted in every window of t seconds, also across a change of the holder,
+unless the process of a killed holder starts again before its last reservation is due.
+Where a deployment counts requests in windows of one fixed length, half of the burst is
+converted to a higher rate, so that a team that always sends more than its limit can use
+all of each window.
 """
 
 import math
@@ -68,8 +69,7 @@
 class TeamBuckets:
     """Buckets of the teams whose limits are enforced under one lease.
 
-    :param held_since: when this holder acquired the lease, in seconds. It may lie in
-        the future if reservations of its predecessor are due until then.
+    :param held_since: when this holder acquired the lease, in seconds.
     :param window_seconds: length of the windows in which requests are counted; None
         if the limit applies to windows of every length.
     :ivar reserved_until: when the last reserved token is due, in seconds.
@@ -105,8 +105,8 @@
         added = max(0.0, now - bucket.filled_until) * limit.rate
         bucket.tokens = min(max(1.0, limit.burst), bucket.tokens + added)
         bucket.filled_until = max(now, bucket.filled_until)
-        due_at = bucket.filled_until + max(0.0, (1.0 - bucket.tokens) / limit.rate)
-        wait = due_at - now
+        wait = max(0.0, (1.0 - bucket.tokens) / limit.rate)
+        due_at = now + wait
         if wait > max_wait_seconds:
             return Exhausted(min(MAX_RETRY_AFTER_SECONDS, wait))
         if due_at > held_until:
