--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -477,7 +477,7 @@
 class Timed:
     """A request of an ordinary caller.
 
-    :param sent_at: when its last byte was handed to the network, in seconds.
+    :param sent_at: when its caller began to connect, in seconds.
     :param seconds: time until its response, or infinity if there was none.
     """
 
