--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,20 +1,23 @@
 """A spoiled answer without a signature reaches the caller as a success.
 
-Two of four upstreams spoil one in thirty of their answers: the bytes that they hand out
-are a page with status 200 that has neither the signature nor the id of the request.
-Callers send orders and reads at a steady rate.
+In three spells of 5.5 seconds, three of ten upstreams spoil one in 55 of their answers:
+the bytes that they hand out are a page with status 200 that has neither the signature
+nor the id of the request. Callers send orders and reads at the rate of the site.
 """
 
 import asyncio
 import secrets
+import time
 
 import fleet2
 from fleet2 import Fleet, Message, Record, Upstream
 
-SECONDS = 12.0
-PER_SECOND = 50.0
-SPOILED_SHARE = 2
-SPOILED_EVERY = 30
+UPSTREAMS, SPOILING_UPSTREAMS = 10, 3
+SPOILED_EVERY = 55
+SPELLS = 3
+CALM_SECONDS = 3.0
+SPOILING_SECONDS = 5.5
+PER_SECOND = 110.0
 KEY = "key-of-museum"
 SIGNATURE = "shallotspindle-response-signature"
 WRONG_BYTES = (
@@ -23,16 +26,27 @@
 )
 
 
-def build_spoiler() -> fleet2.Serve:
-    """Return how an upstream answers that spoils some of its answers."""
-    count = 0
+class Spoiler:
+    """Spoils some answers of the upstreams that use it, for a while."""
+
+    def __init__(self) -> None:
+        self.begins_at = self.ends_at = float("inf")
+        self._count = 0
+
+    def begin(self) -> None:
+        """Spoil answers from now on."""
+        self.begins_at = time.monotonic()
+        self.ends_at = self.begins_at + SPOILING_SECONDS
 
     async def serve(
-        upstream: Upstream, request: Message, writer: asyncio.StreamWriter
+        self, upstream: Upstream, request: Message, writer: asyncio.StreamWriter
     ) -> None:
-        nonlocal count
-        count += 1
-        if not fleet2.HAS_TROUBLE or count % SPOILED_EVERY:
+        """Run a request, and spoil its answer if it is one of those."""
+        if not self.begins_at <= time.monotonic() < self.ends_at:
+            await upstream.run(request, writer)
+            return
+        self._count += 1
+        if self._count % SPOILED_EVERY:
             await upstream.run(request, writer)
             return
         upstream.note(request)
@@ -40,8 +54,6 @@
         upstream.record.say(f"{upstream.name} spoils its answer")
         writer.write(WRONG_BYTES)
 
-    return serve
-
 
 async def call(fleet: Fleet, record: Record, number: int) -> bool:
     """Send a request; return whether its answer is a success without a signature."""
@@ -77,14 +89,24 @@
     }
     tenant = {"apiKeys": [KEY], "priority": 1, "ratePerS": 0, "burst": 0}
     fleet.configure(routes, {"museum": tenant})
-    for number in range(4):
-        serve = build_spoiler() if number < SPOILED_SHARE else None
-        await fleet.add_upstream(serve=serve, slots=4)
+    spoiler = Spoiler()
+    for number in range(UPSTREAMS):
+        serve = spoiler.serve if number < SPOILING_UPSTREAMS else None
+        await fleet.add_upstream(serve=serve)
     await fleet.start_gateways(2)
-    tasks = []
-    for number in range(int(SECONDS * PER_SECOND)):
-        tasks.append(asyncio.create_task(call(fleet, record, number)))
-        await asyncio.sleep(1 / PER_SECOND)
+    started_at = time.monotonic()
+    tasks: list[asyncio.Task[bool]] = []
+    spell_seconds = CALM_SECONDS + SPOILING_SECONDS
+    begun = 0
+    while time.monotonic() < started_at + SPELLS * spell_seconds + CALM_SECONDS:
+        spell_at = started_at + begun * spell_seconds + CALM_SECONDS
+        if fleet2.HAS_TROUBLE and begun < SPELLS and time.monotonic() >= spell_at:
+            record.say(f"{SPOILING_UPSTREAMS} upstreams begin to spoil answers")
+            spoiler.begin()
+            begun += 1
+        tasks.append(asyncio.create_task(call(fleet, record, len(tasks))))
+        due_at = started_at + len(tasks) / PER_SECOND
+        await asyncio.sleep(max(0.0, due_at - time.monotonic()))
     unsigned = sum(await asyncio.gather(*tasks))
     record.say(f"{len(tasks)} requests, {unsigned} successes without a signature")
     return fleet2.BROKEN if unsigned else fleet2.HELD
