Reject successes of upstreams that have no signature

A caller takes such a page for the result of its order.

Cause: the forwarder classified a response by its status alone. The signature was a header to pass on; nothing read it.

Change: response_checks decides from the head of a response what vouches for it, before the body is read and before anything that the response states is used. A success without a signature is rejected:

- a read is retried at another upstream within its attempts, its deadline and the retry budget, as after a truncated response; any other request may have run and is not sent again
- without a sound response the caller gets 502 upstream-failed, which promises nothing
- the upstream is suspended as after a truncated response, and what the response says of it (leaving, a pause) is ignored
- the entry of the attempt in the request line names the fault (unsigned, and mismatched for the id of another request), and shallotspindle_rejected_responses_total counts by service and fault

Failures need no signature; an empty name of the header in the settings turns the check off.

The sound responses of forwarding_test.py are signed now; they had no signature, which no upstream of a deployment that signs may omit. The soak's wrong responses are pages of another server by turns.

--- a/libraries/entry/shallotspindle_entry/response_limits.py
+++ b/libraries/entry/shallotspindle_entry/response_limits.py
@@ -18,9 +18,11 @@
 
 
 class ResponseFault(StrEnum):
-    """Why a response was not read to its end.
+    """Why a response was rejected.
 
-    ``UNNAMED`` is a response without a request id on a reused connection.
+    ``UNNAMED`` is a response without a request id on a reused connection,
+    ``MISMATCHED`` one with the id of another request, and ``UNSIGNED`` a success
+    without a signature.
     """
 
     MALFORMED = "malformed"
@@ -29,6 +31,8 @@
     FRAMING_TOO_LONG = "framing-too-long"
     MEMORY_EXHAUSTED = "no-room"
     UNNAMED = "unnamed"
+    MISMATCHED = "mismatched"
+    UNSIGNED = "unsigned"
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/entry/shallotspindle_entry/upstream_connections.py
+++ b/libraries/entry/shallotspindle_entry/upstream_connections.py
@@ -215,7 +215,7 @@
 
 
 def find_fault(error: Exception) -> ResponseFault | None:
-    """Return why a response was not read to its end, or None if it was truncated."""
+    """Return why a response was rejected, or None if it was truncated."""
     if isinstance(error, ResponseAbortedError):
         return error.fault
     cause = error.__cause__
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -227,6 +227,10 @@
         )
 
 
+# Statuses of the modes in which a fake upstream reports a failure.
+FAKE_FAILURES = {"error": 500}
+
+
 @dataclass
 class FakeUpstream:
     """Fake upstream that behaves according to ``mode``.
@@ -258,11 +262,7 @@
         self.executed.append(request_id)
         self.requests.append(request)
         self.bodies.append(body)
-        fields = {
-            NAMES.request_id: request_id,
-            NAMES.signature: "s",
-            **self.extra_headers,
-        }
+        fields = self._build_headers(request_id)
         if self.mode == "hang":
             try:
                 await asyncio.sleep(30)
@@ -274,8 +274,6 @@
             self.finished += 1
         if self.mode == "reset":
             request.transport.abort()
-        if self.mode == "mismatched":
-            fields[NAMES.request_id] = "another"
         if self.mode == "truncated":
             response = web.StreamResponse(headers={"Content-Length": "100", **fields})
             await response.prepare(request)
@@ -284,9 +282,22 @@
             return response
         if self.mode == "large":
             return web.Response(body=bytes(LARGE_BYTES), headers=fields)
-        status = 500 if self.mode == "error" else 200
+        status = FAKE_FAILURES.get(self.mode, 200)
         return web.Response(status=status, body=b"answer " + body, headers=fields)
 
+    def _build_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of the response to a request that was run."""
+        fields = {
+            NAMES.request_id: request_id,
+            NAMES.signature: "s",
+            **self.extra_headers,
+        }
+        if self.mode == "mismatched":
+            fields[NAMES.request_id] = "another"
+        if self.mode == "unsigned":
+            del fields[NAMES.signature]
+        return fields
+
 
 class Fleet:
     """Gateways, a store and upstreams on loopback."""
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -24,6 +24,14 @@
 pytestmark = pytest.mark.usefixtures("no_startup_delay")
 
 
+INVALID_RESPONSE_MODES = [
+    "truncated",
+    "mismatched",
+    "reset",
+    "unsigned",
+]
+
+
 class UnavailableStore(MemoryStore):
     """Store whose calls all fail after their timeout."""
 
@@ -69,14 +77,31 @@
         assert "Authorization" not in request.headers
         assert 0 < int(request.headers[NAMES.deadline]) <= 2000
 
-    @pytest.mark.parametrize("mode", ["truncated", "mismatched", "reset"])
+    @pytest.mark.parametrize("mode", INVALID_RESPONSE_MODES)
     async def test_an_invalid_response_is_never_passed_on(self, fleet, mode):
-        # Guards against passing on a truncated response, or another request's response.
+        # Guards against passing on a truncated response, another request's response, or
+        # bytes that a faulty upstream sent in place of its response.
         daemon = await start_gateway(fleet, mode)
         status, _, body = await fleet.send(daemon, "/orders/1", method="POST")
         assert status == 502
+        assert b"upstream-failed" in body
         assert not body.startswith((b"answer ", b"half"))
 
+    async def test_a_read_whose_responses_are_all_rejected_fails(self, fleet):
+        # Guards against a refusal that promises a caller that its request did not run.
+        daemon = await start_gateway(fleet, "unsigned", "unsigned")
+        status, headers, body = await fleet.send(daemon)
+        assert status == 502
+        assert b"upstream-failed" in body
+        assert "Retry-After" not in headers
+
+    async def test_the_response_to_a_head_request_is_passed_on(self, fleet):
+        # Guards against a response without a body that counts as invalid.
+        daemon = await start_gateway(fleet, "complete")
+        status, headers, body = await fleet.send(daemon, method="HEAD")
+        assert (status, body) == (200, b"")
+        assert headers[NAMES.signature] == "s"
+
     async def test_an_unknown_route_and_an_unknown_key_are_refused(self, fleet):
         # Guards against refused requests that reach an upstream.
         daemon = await start_gateway(fleet, "complete")
@@ -87,14 +112,14 @@
 
 
 class TestRetries:
-    @pytest.mark.parametrize("mode", ["hang", "truncated", "reset", "error"])
+    @pytest.mark.parametrize("mode", ["hang", "error", *INVALID_RESPONSE_MODES])
     async def test_a_read_is_retried(self, fleet, mode):
         # Guards against reads that fail because of a gray upstream.
         daemon = await start_gateway(fleet, mode, "complete")
         for _ in range(4):
             assert (await fleet.send(daemon))[0] == 200
 
-    @pytest.mark.parametrize("mode", ["truncated", "reset", "mismatched"])
+    @pytest.mark.parametrize("mode", INVALID_RESPONSE_MODES)
     async def test_an_order_that_may_have_run_is_not_retried(self, fleet, mode):
         # Guards against a deposit that is made twice.
         daemon = await start_gateway(fleet, mode, mode)
@@ -102,6 +127,26 @@
         assert status == 502
         assert sum(len(upstream.executed) for upstream in fleet.upstreams.values()) == 1
 
+    @pytest.mark.parametrize("mode", ["unsigned"])
+    async def test_a_retry_after_a_rejected_response_uses_the_budget(self, fleet, mode):
+        # Guards against retries beyond the budget while upstreams send invalid
+        # responses.
+        bounds = Bounds(retry_ratio=0.0, extra_retries=0)
+        daemon = await start_gateway(fleet, mode, mode, bounds=bounds)
+        assert (await fleet.send(daemon))[0] == 502
+        assert sum(len(upstream.executed) for upstream in fleet.upstreams.values()) == 1
+
+    @pytest.mark.parametrize("mode", ["unsigned"])
+    async def test_an_upstream_with_rejected_responses_gets_fewer_orders(
+        self, fleet, mode
+    ):
+        # Guards against a faulty upstream that keeps its share of the orders because
+        # its responses count as successes or refusals.
+        daemon = await start_gateway(fleet, mode, "complete", "complete")
+        for _ in range(12):
+            await fleet.send(daemon, "/orders/1", method="POST")
+        assert len(fleet.upstreams["u0"].executed) <= 3
+
     async def test_an_order_that_was_shed_is_sent_to_another_upstream(self, fleet):
         # Guards against failing an order that certainly did not run.
         daemon = await start_gateway(fleet, "shed", "complete")
--- a/libraries/gateway/shallotspindle_gateway/execution.py
+++ b/libraries/gateway/shallotspindle_gateway/execution.py
@@ -59,7 +59,7 @@
     """An ended attempt, for the log and the metrics.
 
     :param duration_seconds: time from the start to the end of the attempt.
-    :param fault: why the response was not read to its end.
+    :param fault: why the response was rejected.
     """
 
     upstream: str
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -23,6 +23,7 @@
     ResponseAbortedError,
     find_fault,
 )
+from shallotspindle_gateway import response_checks
 from shallotspindle_gateway.buffered_responses import BufferedResponses
 from shallotspindle_gateway.records import HeaderNames
 from shallotspindle_lending.records import Outcome
@@ -63,7 +64,7 @@
     :param response: the complete response, if one for this request was received.
     :param did_not_run: whether the upstream certainly did not run the request.
     :param duration_seconds: time from the start to the end of the attempt.
-    :param fault: why the response was not read to its end.
+    :param fault: why the response was rejected.
     """
 
     outcome: Outcome
@@ -123,8 +124,8 @@
 class Forwarder(Service):
     """Owns the connections to upstreams.
 
-    :param header_names: the headers that match a response with its request and by which
-        an upstream states that it did not run a request, or that it leaves.
+    :param header_names: the headers that vouch for a response and by which an upstream
+        states that it did not run a request, or that it leaves.
     :param record_notice: called with what a response says of its upstream, as soon as
         its head has arrived.
     :param errors: counts unexpected errors. An attempt that ends with one must still
@@ -227,6 +228,11 @@
                 total=request.timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
         ) as response:
+            fault = response_checks.find_head_fault(
+                self._header_names, request.headers, response.status, response.headers
+            )
+            if fault is not None:
+                raise ResponseAbortedError(fault)
             self._report_notice(request, response)
             connection = response.connection
             protocol = connection.protocol if connection is not None else None
@@ -235,14 +241,12 @@
             # An upstream that closes before it has the whole request has failed.
             if is_close_delimited(response) and (was_reset or not upload.is_sent):
                 return Outcome.TRUNCATED, None, False
-            return self._classify_response(request, response, body)
+            return self._classify_response(response, body)
 
     def _report_notice(
         self, request: UpstreamRequest, response: aiohttp.ClientResponse
     ) -> None:
         """Report what a response says of its upstream, before its body arrives."""
-        if self._names_another_request(request, response):
-            return
         notice = notices.read_notice(
             response.status,
             response.headers.get(self._header_names.leaving, ""),
@@ -251,13 +255,6 @@
         if notice is not NO_NOTICE:
             self._record_notice(request.incarnation, notice)
 
-    def _names_another_request(
-        self, request: UpstreamRequest, response: aiohttp.ClientResponse
-    ) -> bool:
-        received_id = response.headers.get(self._header_names.request_id)
-        sent_id = request.headers.get(self._header_names.request_id)
-        return received_id is not None and received_id != sent_id
-
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Read the complete body.
 
@@ -288,11 +285,8 @@
             chunks.clear()
 
     def _classify_response(
-        self, request: UpstreamRequest, response: aiohttp.ClientResponse, body: bytes
+        self, response: aiohttp.ClientResponse, body: bytes
     ) -> tuple[Outcome, UpstreamResponse | None, bool]:
-        # First of all: a refusal of another request proves nothing about this one.
-        if self._names_another_request(request, response):
-            return Outcome.TRUNCATED, None, False
         status = response.status
         if status == MISDIRECTED_REQUEST:
             return Outcome.MISDIRECTED, None, True
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -14,6 +14,7 @@
 from shallotspindle_gateway.conftest import (
     LARGE_BYTES,
     NAMES,
+    SERVICE,
     RawCaller,
     build_order,
 )
@@ -29,14 +30,16 @@
 # Longer than any test runs, so that the limits end a response and not the timeout.
 TIMEOUT_SECONDS = 20.0
 CHUNK_BYTES = 64 * 1024
-OK = b"HTTP/1.1 200 OK\r\n"
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+SIGNATURE = f"{NAMES.signature}: s\r\n".encode()
+OK = STATUS_LINE + SIGNATURE
 COMPLETE_RESPONSE = OK + b"Content-Length: 5\r\n\r\nwhole"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
 # Name, beginning, unit that is repeated without end, and expected fault.
 ENDLESS_RESPONSES = (
     ("garbage", b"", b"\x00\xffgarbage", ResponseFault.MALFORMED),
-    ("status-line", OK[:-2], b"K", ResponseFault.MALFORMED),
+    ("status-line", STATUS_LINE[:-2], b"K", ResponseFault.MALFORMED),
     ("header-line", OK + b"Name: ", b"v", ResponseFault.MALFORMED),
     ("header-name", OK, b"n", ResponseFault.MALFORMED),
     ("few-headers", OK, b"Name: " + b"v" * 8000 + b"\r\n", ResponseFault.HEAD_TOO_LONG),
@@ -155,8 +158,10 @@
     servers.close()
 
 
-def build_forwarder(limits, errors, record_notice=lambda upstream, notice: None):
-    return Forwarder(NAMES, SystemClock(), limits, errors, record_notice)
+def build_forwarder(
+    limits, errors, record_notice=lambda upstream, notice: None, header_names=NAMES
+):
+    return Forwarder(header_names, SystemClock(), limits, errors, record_notice)
 
 
 @pytest_asyncio.fixture
@@ -306,7 +311,7 @@
     "length": OK + b"Name: v\r\nContent-Length: 5\r\n\r\nwhole",
     "empty": OK + b"Content-Length: 0\r\nName: v\r\n\r\n",
     "chunks": CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n",
-    "no-content": b"HTTP/1.1 204 No Content\r\nName: v\r\n\r\n",
+    "no-content": b"HTTP/1.1 204 No Content\r\n" + SIGNATURE + b"\r\n",
     "after-continue": b"HTTP/1.1 100 Continue\r\n\r\n" + COMPLETE_RESPONSE,
     "refusal": REFUSAL + b"Content-Length: 4\r\n\r\nbusy",
 }
@@ -377,7 +382,7 @@
             assert result.response is None
             assert not result.did_not_run
 
-    @pytest.mark.parametrize("head", [OK, b"HTTP/1.1 204 No Content\r\n"])
+    @pytest.mark.parametrize("head", [OK, b"HTTP/1.1 204 No Content\r\n" + SIGNATURE])
     async def test_only_one_with_a_certain_end_is_complete_before_the_upload(
         self, forwarder, upstreams, head
     ):
@@ -424,6 +429,122 @@
         assert result.outcome is (outcome if names_request else Outcome.TRUNCATED)
 
 
+NAMED = f"{NAMES.request_id}: r1\r\n".encode()
+NOT_RUN = f"{NAMES.not_run}: 1\r\n".encode()
+EMPTY_BODY = b"Content-Length: 0\r\n\r\n"
+PAGE = b"Content-Type: text/html\r\nContent-Length: 5\r\n\r\n<html"
+# What an upstream may send in place of its response to request r1, and why it is
+# rejected.
+UNVOUCHED_RESPONSES = {
+    "mismatched": (
+        OK + NAMED.replace(b"r1", b"r2") + EMPTY_BODY,
+        ResponseFault.MISMATCHED,
+    ),
+    "unsigned": (STATUS_LINE + NAMED + PAGE, ResponseFault.UNSIGNED),
+    "empty-signature": (
+        STATUS_LINE + NAMED + SIGNATURE.replace(b"s\r", b"\r") + PAGE,
+        ResponseFault.UNSIGNED,
+    ),
+    "unsigned-created": (
+        b"HTTP/1.1 201 Created\r\n" + NAMED + EMPTY_BODY,
+        ResponseFault.UNSIGNED,
+    ),
+    "unsigned-no-content": (
+        b"HTTP/1.1 204 No Content\r\n" + NAMED + b"\r\n",
+        ResponseFault.UNSIGNED,
+    ),
+    "unsigned-without-end": (STATUS_LINE + NAMED + b"\r\n", ResponseFault.UNSIGNED),
+}
+# Sound responses to request r1.
+SOUND_RESPONSES = {
+    "signed": OK + NAMED + b"Content-Length: 5\r\n\r\nwhole",
+    "empty": OK + NAMED + EMPTY_BODY,
+    "no-content": b"HTTP/1.1 204 No Content\r\n" + SIGNATURE + NAMED + b"\r\n",
+    "signed-failure": b"HTTP/1.1 500 E\r\n" + SIGNATURE + NAMED + EMPTY_BODY,
+    "failure": b"HTTP/1.1 500 E\r\n" + NAMED + EMPTY_BODY,
+    "unavailable": b"HTTP/1.1 503 Busy\r\n" + NAMED + EMPTY_BODY,
+    "client-error": b"HTTP/1.1 404 Not Found\r\n" + NAMED + PAGE,
+    "redirect": b"HTTP/1.1 302 Found\r\nLocation: /\r\n" + NAMED + EMPTY_BODY,
+    "not-modified": b"HTTP/1.1 304 Not Modified\r\n" + NAMED + b"\r\n",
+}
+
+
+def build_named_request(address, method="POST", body=None):
+    request = build_request(address, method, body)
+    return replace(request, headers={NAMES.request_id: "r1"})
+
+
+class TestUnvouchedResponses:
+    @pytest.mark.parametrize(
+        ("response", "fault"), UNVOUCHED_RESPONSES.values(), ids=UNVOUCHED_RESPONSES
+    )
+    async def test_one_proves_neither_success_nor_failure(
+        self, forwarder, upstreams, response, fault
+    ):
+        # Guards against a caller that gets a page of a faulty upstream as the result of
+        # its order, and against an order that runs again because such a page denied it.
+        address = await upstreams.add(CutUpstream(response, b""))
+        result = await forwarder.send(build_named_request(address))
+        assert (result.outcome, result.response) == (Outcome.TRUNCATED, None)
+        assert not result.did_not_run
+        assert result.fault is fault
+
+    async def test_its_body_is_not_read(self, forwarder, upstreams):
+        # Guards against memory and time spent on a body that is dropped.
+        upstream = EndlessUpstream(STATUS_LINE + NAMED + b"\r\n", b"x")
+        request = build_named_request(await upstreams.add(upstream))
+        result = await forwarder.send(request)
+        assert result.fault is ResponseFault.UNSIGNED
+        await wait_until_closed(upstream)
+
+    async def test_one_during_an_upload_ends_the_attempt(self, forwarder, upstreams):
+        # Guards against an attempt that waits for the rest of an upload whose response
+        # was already rejected.
+        async def stream():
+            yield b"x"
+            await asyncio.Event().wait()
+
+        upstream = EndlessUpstream(STATUS_LINE + NAMED + PAGE, b"x")
+        address = await upstreams.add(upstream)
+        async with asyncio.timeout(TIMEOUT_SECONDS / 2):
+            result = await forwarder.send(
+                build_named_request(address, "POST", stream())
+            )
+        assert result.fault is ResponseFault.UNSIGNED
+        await wait_until_closed(upstream)
+
+    @pytest.mark.parametrize("method", ["POST", "GET", "HEAD"])
+    @pytest.mark.parametrize("response", SOUND_RESPONSES.values(), ids=SOUND_RESPONSES)
+    async def test_a_sound_response_is_passed_on(
+        self, forwarder, upstreams, response, method
+    ):
+        # Guards against checks that reject an upstream's own success or failure.
+        address = await upstreams.add(CutUpstream(response, b""))
+        result = await forwarder.send(build_named_request(address, method))
+        assert result.response is not None
+        assert result.response.status == int(response.split()[1])
+        assert result.fault is None
+
+    async def test_a_request_without_an_id_needs_none_in_its_response(
+        self, forwarder, upstreams
+    ):
+        # Guards against callers without request ids that never get a response.
+        address = await upstreams.add(EndlessUpstream(COMPLETE_RESPONSE, b"x"))
+        result = await forwarder.send(build_request(address))
+        assert result.outcome is Outcome.COMPLETE
+
+    async def test_a_deployment_without_signatures_needs_none(self, upstreams):
+        # Guards against a signature that is required where the settings name no header.
+        names = replace(NAMES, signature="")
+        forwarder = build_forwarder(LIMITS, UnexpectedErrors(), header_names=names)
+        await forwarder.start()
+        unsigned = STATUS_LINE + NAMED + EMPTY_BODY
+        address = await upstreams.add(EndlessUpstream(unsigned, b"x"))
+        result = await forwarder.send(build_named_request(address))
+        assert result.outcome is Outcome.COMPLETE
+        await forwarder.stop()
+
+
 class TestUnexpectedErrors:
     async def test_an_error_of_our_own_still_has_a_result(self, upstreams):
         # Guards against a slot that is never returned, and against a request that is
@@ -598,6 +719,32 @@
             assert (status, body) == (200, b"answer ")
             assert headers[NAMES.signature] == "s"
 
+    @pytest.mark.parametrize(
+        ("mode", "fault"),
+        [
+            ("unsigned", "unsigned"),
+            ("mismatched", "mismatched"),
+        ],
+    )
+    async def test_logs_and_metrics_tell_why_a_response_was_rejected(
+        self, fleet, mode, fault
+    ):
+        # Guards against a faulty upstream that operators cannot tell from one that
+        # breaks off its responses.
+        lines = []
+        await fleet.add_upstream(mode)
+        daemon = await self.start_gateway(fleet)
+        reporter = daemon._frontend._reporter
+        reporter._stream.write = lines.append
+        await fleet.send(daemon, "/orders/1", method="POST")
+        line = json.loads(lines[0])
+        assert (line["status"], line["refusal"]) == (502, "upstream-failed")
+        ((upstream, outcome, _, logged_fault),) = line["sends"]
+        assert (upstream, outcome, logged_fault) == ("u0", "truncated", fault)
+        labels = f'{{fault="{fault}",service="{SERVICE}"}}'
+        metric = f"shallotspindle_rejected_responses_total{labels} 1"
+        assert metric in reporter.render()[0].decode().splitlines()
+
     async def test_the_log_line_names_the_fault(self, fleet, upstreams):
         # Guards against a log line in which an aborted response looks like any other
         # truncated one.
--- a/libraries/gateway/shallotspindle_gateway/records.py
+++ b/libraries/gateway/shallotspindle_gateway/records.py
@@ -54,7 +54,8 @@
 class HeaderNames:
     """Names of the header fields that the deployment uses.
 
-    :param signature: the upstream's signature of its response, passed on unchanged.
+    :param signature: the upstream's signature of its response, passed on unchanged. A
+        success without it is rejected; empty if upstreams do not sign.
     :param not_run: tells that the upstream did not run the request.
     :param leaving: tells that the upstream leaves.
     :param key_scheme: authentication scheme in ``Authorization`` for callers' keys.
--- a/libraries/gateway/shallotspindle_gateway/reporting.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting.py
@@ -82,6 +82,11 @@
             "Sends to upstreams by service and outcome.",
             registry=self.registry,
         )
+        self.rejected_responses = Counter(
+            "shallotspindle_rejected_responses_total",
+            "Responses of upstreams that were rejected, by service and fault.",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "shallotspindle_answer_seconds",
             "Time from the arrival of a request to its answer.",
@@ -177,9 +182,7 @@
         self._metrics.responses.inc(labels)
         self._metrics.latency.observe({"route": trace.route}, seconds)
         for attempt in trace.attempts:
-            self._metrics.attempts.inc(
-                {"service": trace.service, "outcome": attempt.outcome.value}
-            )
+            self._count_attempt(trace.service, attempt)
         if not self._log_limiter.take_line():
             return
         line = {
@@ -204,6 +207,15 @@
         }
         self._stream.write(json.dumps(line) + "\n")
 
+    def _count_attempt(self, service: str, attempt: AttemptRecord) -> None:
+        self._metrics.attempts.inc(
+            {"service": service, "outcome": attempt.outcome.value}
+        )
+        if attempt.fault is not None:
+            self._metrics.rejected_responses.inc(
+                {"service": service, "fault": attempt.fault.value}
+            )
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the Prometheus text format, with the HTTP headers."""
         for name, value in self._read_state().items():
--- a/libraries/gateway/shallotspindle_gateway/reporting_test.py
+++ b/libraries/gateway/shallotspindle_gateway/reporting_test.py
@@ -21,6 +21,7 @@
     "# TYPE shallotspindle_cold_denials_total counter",
     "# TYPE shallotspindle_caller_limits_total counter",
     "# TYPE shallotspindle_notices_total counter",
+    "# TYPE shallotspindle_rejected_responses_total counter",
     "# TYPE shallotspindle_sends_total counter",
     "# TYPE shallotspindle_route_cost_ratio gauge",
     "# TYPE shallotspindle_state gauge",
@@ -117,6 +118,8 @@
         )
         sends = 'shallotspindle_sends_total{outcome="truncated",service="service-1"} 1'
         assert sends in lines
+        rejected = 'shallotspindle_rejected_responses_total{fault="no-room",service='
+        assert rejected + '"service-1"} 1' in lines
         assert 'shallotspindle_notices_total{kind="leaving"} 3' in lines
         assert 'shallotspindle_cold_denials_total{service="service-1"} 5' in lines
         assert 'shallotspindle_route_cost_ratio{service="service-1"} 2.0' in lines
@@ -178,4 +181,13 @@
             "slot",
             "sent",
         ]
-        assert "no-room" in {item.value for item in ResponseFault}
+        assert [item.value for item in ResponseFault] == [
+            "malformed",
+            "head-too-long",
+            "body-too-long",
+            "framing-too-long",
+            "no-room",
+            "unnamed",
+            "mismatched",
+            "unsigned",
+        ]
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
@@ -104,6 +104,15 @@
         upstream.mode = "complete"
         assert (await fleet.send(daemon))[0] == 200
 
+    @pytest.mark.parametrize("mode", ["unsigned"])
+    async def test_a_rejected_response_says_nothing(self, fleet, mode):
+        # Guards against bytes of a faulty upstream that drain it.
+        daemon = await start_gateway(fleet, mode)
+        (upstream,) = fleet.upstreams.values()
+        upstream.extra_headers = LEAVING
+        assert (await fleet.send(daemon))[0] == 502
+        assert not daemon.follower.upstreams.has_left("u0")
+
     async def test_the_notice_counts_before_the_body_is_complete(self, fleet):
         # Guards against requests that are sent while a long body arrives.
         daemon = await start_gateway(fleet, "truncated", "complete")
--- a/libraries/lending/shallotspindle_lending/records.py
+++ b/libraries/lending/shallotspindle_lending/records.py
@@ -19,9 +19,10 @@
 
     ``COMPLETE`` is a complete response without a server error. ``SHED`` is a request
     that the upstream rejected without running it, and ``MISDIRECTED`` one that it
-    rejected with status 421. ``TRUNCATED`` is a response that broke off or belongs to
-    another request. ``OVERDUE`` means that another upstream responded first while this
-    attempt took longer than usual; an attempt of usual length is ``CANCELLED`` then.
+    rejected with status 421. ``TRUNCATED`` is a response that broke off or was
+    rejected, such as one to another request. ``OVERDUE`` means that another upstream
+    responded first while this attempt took longer than usual; an attempt of usual
+    length is ``CANCELLED`` then.
     """
 
     COMPLETE = "whole"
--- a/libraries/soak/shallotspindle_soak/broken.py
+++ b/libraries/soak/shallotspindle_soak/broken.py
@@ -16,7 +16,13 @@
 from expression import Ok
 
 from shallotspindle_adapter import main as adapter
-from shallotspindle_gateway import forwarding, headers, pipeline, stored_forms
+from shallotspindle_gateway import (
+    forwarding,
+    headers,
+    pipeline,
+    response_checks,
+    stored_forms,
+)
 from shallotspindle_gateway.admission import Admission
 from shallotspindle_gateway.daemon import Daemon
 from shallotspindle_gateway.messages import TokenGrant
@@ -62,7 +68,7 @@
 
 def believe_answers() -> None:
     """Accept the response to any request."""
-    forwarding.Forwarder._names_another_request = lambda self, *arguments: False
+    response_checks.find_head_fault = lambda *arguments: None
 
 
 def pass_keys() -> None:
@@ -183,10 +189,10 @@
     """Exit when an upstream responds with a server error."""
     classify = forwarding.Forwarder._classify_response
 
-    def classify_or_exit(self, request, response, body):
+    def classify_or_exit(self, response, body):
         if response.status >= forwarding.SERVER_ERROR:
             os._exit(1)
-        return classify(self, request, response, body)
+        return classify(self, response, body)
 
     forwarding.Forwarder._classify_response = classify_or_exit
 
--- a/libraries/soak/shallotspindle_soak/upstreams.py
+++ b/libraries/soak/shallotspindle_soak/upstreams.py
@@ -29,8 +29,8 @@
     """How an upstream responds.
 
     TRUNCATED_RESPONSE closes the connection after 100 bytes of the body.
-    WRONG_RESPONSE is the response to another request. SHED refuses without execution,
-    and PAUSE asks for a pause with it.
+    WRONG_RESPONSE is the response to another request, or by turns the page of another
+    server. SHED refuses without execution, and PAUSE asks for a pause with it.
     """
 
     NORMAL = "whole"
@@ -44,6 +44,7 @@
     PAUSE = "pause"
 
 
+FOREIGN_PAGE = b"<html>It works!</html>"
 ENDLESS_RESPONSE_START = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
 ENDLESS_CHUNKS = {
     UpstreamMode.ENDLESS_HEAD: b"X-Filler: 0123456789abcdef\r\n" * (CHUNK_BYTES // 28),
@@ -173,6 +174,8 @@
         if mode is UpstreamMode.ERRORS:
             return web.Response(status=500, headers=headers)
         if mode is UpstreamMode.WRONG_RESPONSE:
+            if self._request_count % 2:
+                return web.Response(body=FOREIGN_PAGE)
             request_id = headers[header_names.request_id] = "another"
         digest_count = int(request.path.rpartition("/")[2])
         response_body = build_response_body(request_id, body, digest_count)
