Reject responses of upstreams that do not name their request

What callers saw: a page of a faulty upstream without the id of the request reached the caller as the upstream's failure (404, 500) or redirect. Worse, the pages 421 and 503 with the header that denies the run were believed without the id: an order that an upstream had run was sent to a second upstream. test_an_order_that_may_have_run_is_not_retried [unnamed refusal] showed two runs of one order.

Cause: an id that differs was rejected, a missing one was not.

Evidence: endpoints repeat the id in all their answers (PROTOCOL.md).

Change: a response without the id is rejected with the fault unnamed, at the head, whatever its status: a read is retried, an order ends with 502, the upstream is suspended as after a truncated response. A request without an id needs none in its response. The entry daemon stays as it is: its upstreams need not repeat the id.

The refusals of the fake upstreams of the gateway and of the soak now name their request, as sound ones do. TestRefusals (another id) is unchanged.

--- a/libraries/entry/shallotspindle_entry/response_limits.py
+++ b/libraries/entry/shallotspindle_entry/response_limits.py
@@ -20,9 +20,8 @@
 class ResponseFault(StrEnum):
     """Why a response was rejected.
 
-    ``UNNAMED`` is a response without a request id on a reused connection,
-    ``MISMATCHED`` one with the id of another request, and ``UNSIGNED`` a success
-    without a signature.
+    ``UNNAMED`` is a response without the request id that it must have, ``MISMATCHED``
+    one with the id of another request, and ``UNSIGNED`` a success without a signature.
     """
 
     MALFORMED = "malformed"
--- a/libraries/gateway/shallotspindle_gateway/conftest.py
+++ b/libraries/gateway/shallotspindle_gateway/conftest.py
@@ -228,7 +228,7 @@
 
 
 # Statuses of the modes in which a fake upstream reports a failure.
-FAKE_FAILURES = {"error": 500}
+FAKE_FAILURES = {"error": 500, "unnamed refusal": 503}
 
 
 @dataclass
@@ -257,7 +257,11 @@
         if self.mode == "shed late":
             await self.release.wait()
         if self.mode.startswith("shed"):
-            fields = {NAMES.not_run: "1", **self.extra_headers}
+            fields = {
+                NAMES.request_id: request_id,
+                NAMES.not_run: "1",
+                **self.extra_headers,
+            }
             return web.Response(status=503, headers=fields)
         self.executed.append(request_id)
         self.requests.append(request)
@@ -296,6 +300,10 @@
             fields[NAMES.request_id] = "another"
         if self.mode == "unsigned":
             del fields[NAMES.signature]
+        if self.mode.startswith("unnamed"):
+            del fields[NAMES.request_id]
+        if self.mode == "unnamed refusal":
+            fields[NAMES.not_run] = "1"
         return fields
 
 
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -29,6 +29,8 @@
     "mismatched",
     "reset",
     "unsigned",
+    "unnamed",
+    "unnamed refusal",
 ]
 
 
@@ -89,7 +91,7 @@
 
     async def test_a_read_whose_responses_are_all_rejected_fails(self, fleet):
         # Guards against a refusal that promises a caller that its request did not run.
-        daemon = await start_gateway(fleet, "unsigned", "unsigned")
+        daemon = await start_gateway(fleet, "unsigned", "unnamed")
         status, headers, body = await fleet.send(daemon)
         assert status == 502
         assert b"upstream-failed" in body
@@ -127,7 +129,7 @@
         assert status == 502
         assert sum(len(upstream.executed) for upstream in fleet.upstreams.values()) == 1
 
-    @pytest.mark.parametrize("mode", ["unsigned"])
+    @pytest.mark.parametrize("mode", ["unsigned", "unnamed"])
     async def test_a_retry_after_a_rejected_response_uses_the_budget(self, fleet, mode):
         # Guards against retries beyond the budget while upstreams send invalid
         # responses.
@@ -136,7 +138,7 @@
         assert (await fleet.send(daemon))[0] == 502
         assert sum(len(upstream.executed) for upstream in fleet.upstreams.values()) == 1
 
-    @pytest.mark.parametrize("mode", ["unsigned"])
+    @pytest.mark.parametrize("mode", ["unsigned", "unnamed", "unnamed refusal"])
     async def test_an_upstream_with_rejected_responses_gets_fewer_orders(
         self, fleet, mode
     ):
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -436,6 +436,19 @@
 # What an upstream may send in place of its response to request r1, and why it is
 # rejected.
 UNVOUCHED_RESPONSES = {
+    "page": (STATUS_LINE + PAGE, ResponseFault.UNNAMED),
+    "page-of-a-failure": (b"HTTP/1.1 500 E\r\n" + PAGE, ResponseFault.UNNAMED),
+    "page-of-a-client-error": (b"HTTP/1.1 404 N\r\n" + PAGE, ResponseFault.UNNAMED),
+    "redirect": (
+        b"HTTP/1.1 302 F\r\nLocation: /\r\n" + PAGE,
+        ResponseFault.UNNAMED,
+    ),
+    "unnamed": (OK + EMPTY_BODY, ResponseFault.UNNAMED),
+    "unnamed-refusal": (
+        b"HTTP/1.1 503 Busy\r\n" + NOT_RUN + EMPTY_BODY,
+        ResponseFault.UNNAMED,
+    ),
+    "unnamed-misdirection": (b"HTTP/1.1 421 M\r\n" + PAGE, ResponseFault.UNNAMED),
     "mismatched": (
         OK + NAMED.replace(b"r1", b"r2") + EMPTY_BODY,
         ResponseFault.MISMATCHED,
@@ -723,6 +736,8 @@
         ("mode", "fault"),
         [
             ("unsigned", "unsigned"),
+            ("unnamed", "unnamed"),
+            ("unnamed refusal", "unnamed"),
             ("mismatched", "mismatched"),
         ],
     )
--- a/libraries/gateway/shallotspindle_gateway/response_checks.py
+++ b/libraries/gateway/shallotspindle_gateway/response_checks.py
@@ -22,15 +22,14 @@
 ) -> ResponseFault | None:
     """Return why the head of a response is rejected, or None if it is sound.
 
-    A response must not have the id of another request, and a success needs a signature.
+    Every response must have the id of its request, and a success a signature as well.
 
     :param request_headers: headers of the request that was sent.
     :param status: status of a final response.
     """
-    received_id = headers.get(header_names.request_id)
-    sent_id = request_headers.get(header_names.request_id)
-    if received_id is not None and received_id != sent_id:
-        return ResponseFault.MISMATCHED
+    received_id = headers.get(header_names.request_id, "")
+    if received_id != request_headers.get(header_names.request_id, ""):
+        return ResponseFault.MISMATCHED if received_id else ResponseFault.UNNAMED
     if status not in SUCCESS_STATUSES or not header_names.signature:
         return None
     has_signature = bool(headers.get(header_names.signature))
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
@@ -104,7 +104,7 @@
         upstream.mode = "complete"
         assert (await fleet.send(daemon))[0] == 200
 
-    @pytest.mark.parametrize("mode", ["unsigned"])
+    @pytest.mark.parametrize("mode", ["unsigned", "unnamed"])
     async def test_a_rejected_response_says_nothing(self, fleet, mode):
         # Guards against bytes of a faulty upstream that drain it.
         daemon = await start_gateway(fleet, mode)
@@ -135,6 +135,14 @@
         assert set(await send_reads(fleet, daemon)) == {200}
         assert paused.executed == []
 
+    async def test_a_refusal_without_a_request_id_asks_for_no_pause(self, fleet):
+        # Guards against bytes of a faulty upstream that keep requests from it.
+        daemon = await start_gateway(fleet, "unnamed refusal")
+        (upstream,) = fleet.upstreams.values()
+        upstream.extra_headers = {RETRY_AFTER: "60"}
+        assert (await fleet.send(daemon))[0] == 502
+        assert not daemon.notices.list_obstacles(SERVICE)
+
     async def test_an_upstream_gets_requests_after_its_pause(self, fleet):
         # Guards against capacity that is lost after a short pause.
         daemon = await start_gateway(fleet, "shed")
--- a/libraries/soak/shallotspindle_soak/upstreams.py
+++ b/libraries/soak/shallotspindle_soak/upstreams.py
@@ -105,7 +105,8 @@
         body = await request.read()
         request_id = request.headers.get(header_names.request_id, "")
         if request.headers.get(header_names.target, self.name) != self.name:
-            return web.Response(status=421)
+            named = {header_names.request_id: request_id}
+            return web.Response(status=421, headers=named)
         self._request_count += 1
         # In a gray failure some requests still succeed: here, every fourth.
         mode = self.mode if self._request_count % 4 else UpstreamMode.NORMAL
