Record the reported load only of a response that was accepted

The entry daemon read Upstream-Load from the head of a response before it compared the request id and the framing. A late copy, or a response to another request, changed the load by which upstreams are chosen and the limit on concurrent requests is set.

Change: the load is read after check_response, like the notices. The outcome of the attempt (truncated) and the retry rules are unchanged.

--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -162,8 +162,8 @@
             remaining_seconds,
             call.is_idempotent,
         ) as response:
-            attempt.load = headers.read_load(response.headers)
             check_response(response, call)
+            attempt.load = headers.read_load(response.headers)
             notice = headers.read_notice(response.status, response.headers)
             if notice is not NO_NOTICE:
                 self._record_notice(upstream, notice)
--- a/libraries/entry/shallotspindle_entry/fakes.py
+++ b/libraries/entry/shallotspindle_entry/fakes.py
@@ -70,12 +70,16 @@
 
 
 class LocalBalancer:
-    """Chooses the less loaded of two random upstreams, by requests in flight."""
+    """Chooses the less loaded of two random upstreams, by requests in flight.
+
+    :ivar samples: the measurements of all ended attempts.
+    """
 
     def __init__(self, configuration: ConfigurationTask, random: RandomSource) -> None:
         self._configuration = configuration
         self._random = random
         self._in_flight: Counter[UpstreamName] = Counter()
+        self.samples: list[AttemptSample] = []
 
     async def assign(
         self,
@@ -99,6 +103,7 @@
 
     def finish(self, assignment: Assignment, sample: AttemptSample) -> None:
         self._in_flight[assignment.upstream.name] -= 1
+        self.samples.append(sample)
 
     def record_notice(self, upstream: Upstream, notice: Notice) -> None:
         """Ignore the notice; this balancer excludes no upstream."""
--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -10,6 +10,7 @@
 
 from shallotspindle_entry import bodies, certificates, frontend
 from shallotspindle_entry.conftest import API_KEY, await_true
+from shallotspindle_health.scoring import Outcome
 from shallotspindle_notices.notices import Notice
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
@@ -217,6 +218,25 @@
         assert response.startswith(b"HTTP/1.1 502")
         assert b"wrong" not in response
 
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 200 OK\r\nUpstream-Load: 9\r\nX-Request-Id: other\r\n"
+            b"Content-Length: 5\r\n\r\nwrong",
+            b"HTTP/1.1 200 OK\r\nUpstream-Load: 9\r\n\r\nwrong",
+        ],
+        ids=["mismatched", "without-a-length"],
+    )
+    async def test_rejected_response_tells_no_load(self, proxy, response):
+        # Guards against an upstream that loses or gains work because of bytes that do
+        # not belong to its response.
+        proxy.upstream.scripts = [proxy.upstream.respond(response)]
+        assert (await proxy.get()).startswith(b"HTTP/1.1 502")
+        assert {sample.outcome for sample in proxy.balancer.samples} == {
+            Outcome.TRUNCATED
+        }
+        assert {sample.load for sample in proxy.balancer.samples} == {None}
+
     async def test_connection_of_a_timed_out_request_is_not_reused(self, proxy):
         # Guards against a late response to one request that reaches the next caller.
         release = asyncio.Event()
