Ignore loads of upstreams that are not within bounds

The entry daemon took any float from Upstream-Load. One response with inf or 1e999 made the average load of the service infinite for the life of the process, and with it the limit on concurrent requests fell to its minimum (dispatch.finish, observe_complete).

Change: a load below 0, above 1,000 requests per slot or that is no number is ignored, like a missing header.

--- a/libraries/core/shallotspindle_core/bounds.py
+++ b/libraries/core/shallotspindle_core/bounds.py
@@ -12,6 +12,8 @@
 # The longest timeout, lease or warm-up that any deployment states is below a day.
 MAX_SECONDS = 86_400.0
 MAX_SLOTS = 1_000
+# Requests that run or wait in an upstream, divided by its slots.
+MAX_LOAD = 1_000.0
 MAX_CONNECTIONS = 1_000_000
 MAX_WEIGHT = 1_000_000.0
 MAX_REQUESTS_PER_SECOND = 1_000_000_000.0
--- a/libraries/entry/shallotspindle_entry/borders_test.py
+++ b/libraries/entry/shallotspindle_entry/borders_test.py
@@ -4,10 +4,12 @@
 import zlib
 
 import msgpack
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from shallotspindle_entry import claims
+from shallotspindle_core import bounds
+from shallotspindle_entry import claims, headers
 from shallotspindle_entry import ownership_records as records
 from shallotspindle_entry.coordination import MESSAGE_TYPES
 from shallotspindle_entry.stored_form_test import CLAIM
@@ -47,6 +49,27 @@
         assert decoded.is_ok() or decoded.error
 
 
+class TestReportedLoads:
+    @pytest.mark.parametrize(
+        "text", ["inf", "1e999", "nan", "-1", "-inf", "1e300", "1001", "", "2,0,4"]
+    )
+    def test_a_load_that_is_none_is_ignored(self, text):
+        # Guards against one response that keeps the average load of a service infinite,
+        # which reduces its concurrent requests to the minimum for good.
+        assert headers.read_load({headers.LOAD: text}) is None
+
+    @pytest.mark.parametrize(("text", "load"), [("0", 0.0), ("1.5", 1.5), ("1e3", 1e3)])
+    def test_a_load_within_the_bounds_is_read(self, text, load):
+        # Guards against bounds that hide the load of a crowded upstream.
+        assert headers.read_load({headers.LOAD: text}) == load
+
+    @given(st.text(max_size=20))
+    def test_any_text(self, text):
+        # Guards against a header that raises in the attempt.
+        load = headers.read_load({headers.LOAD: text})
+        assert load is None or 0 <= load <= bounds.MAX_LOAD
+
+
 class TestPeerMessages:
     @given(st.sampled_from(MESSAGES), st.data())
     def test_a_message_with_malformed_fields(self, message, data):
--- a/libraries/entry/shallotspindle_entry/headers.py
+++ b/libraries/entry/shallotspindle_entry/headers.py
@@ -8,6 +8,7 @@
 
 from multidict import CIMultiDict
 
+from shallotspindle_core import bounds
 from shallotspindle_entry import deadlines
 from shallotspindle_notices import notices
 from shallotspindle_notices.notices import Notice
@@ -115,9 +116,10 @@
 def read_load(headers: Mapping[str, str]) -> float | None:
     """Return the load that an upstream reports in its response, or None."""
     try:
-        return max(0.0, float(headers.get(LOAD, "")))
+        load = float(headers.get(LOAD, ""))
     except ValueError:
         return None
+    return load if 0.0 <= load <= bounds.MAX_LOAD else None
 
 
 def read_notice(status: int, headers: Mapping[str, str]) -> Notice:
