Read no value from a response that is not the store's own

The etcd client of the entry daemon took any JSON object with status 200 as a response: {} or {"status": "ok"} to a read meant that the key does not exist (revision 0) or that a prefix is empty, and {"result": {}} to a renewal that the lease has ended. The key of a value and the id of a lease were not compared with what was asked.

Change: a read needs the header that every response of etcd has, the keys must be the requested ones, and a renewal must name its lease. Anything else is a failure, as for a response that cannot be read: the caller keeps what it knows and asks again.

The response of test_a_key_that_is_no_text_hides_no_other has the header now, which it lacked and etcd always sends.

--- a/libraries/environment/shallotspindle_environment/etcd.py
+++ b/libraries/environment/shallotspindle_environment/etcd.py
@@ -55,18 +55,22 @@
     mod_revision: Revision = 0
 
 
-class WireRange(BaseModel):
-    """Response to a read; ``kvs`` is absent if there are no values."""
-
-    kvs: list[WireValue] = Field(default_factory=list)
-
-
 class WireHeader(BaseModel):
     """Header of each response, with the revision of the store."""
 
     revision: Revision
 
 
+class WireRange(BaseModel):
+    """Response to a read; ``kvs`` is absent if there are no values.
+
+    :param header: required, since any other JSON object would look like no values.
+    """
+
+    header: WireHeader
+    kvs: list[WireValue] = Field(default_factory=list)
+
+
 class WireWritten(BaseModel):
     """Response to a transaction; ``succeeded`` is absent if a condition failed."""
 
@@ -81,8 +85,12 @@
 
 
 class WireRenewal(BaseModel):
-    """The part of the response to a renewal that matters; 0 for an ended lease."""
+    """The part of the response to a renewal that matters.
+
+    :param ttl_seconds: time to live; absent or 0 for an ended lease.
+    """
 
+    lease_id: Annotated[Revision, Field(alias="ID")]
     ttl_seconds: Annotated[Revision, Field(alias="TTL")] = 0
 
 
@@ -169,6 +177,11 @@
     return failure
 
 
+def build_mismatch(source: str, received: str) -> StoreFailure:
+    """Return the failure for a response to another request."""
+    return StoreFailure(source, "the response is to another request", received)
+
+
 def build_malformed(source: str, failure: MalformedDocument) -> OutcomeUnknown:
     """Return the failure for a response that cannot be read."""
     return OutcomeUnknown(source, "the response is malformed", str(failure))
@@ -246,6 +259,8 @@
         decoded = decode_values(values.ok[:1])
         if not decoded:
             return Error(StoreFailure(f"store {key}", "the value is unreadable"))
+        if decoded[0].key != key:
+            return Error(build_mismatch(f"store {key}", decoded[0].key))
         return Ok(decoded[0])
 
     async def list(self, prefix: str) -> Result[tuple[StoredValue, ...], StoreFailure]:
@@ -254,12 +269,18 @@
             "range_end": encode_base64(compute_range_end(prefix)),
         }
         response = await self._post("/v3/kv/range", body)
-        return convert_response(
+        values = convert_response(
             f"store {prefix}",
             response,
             RANGE_ADAPTER,
             lambda page: decode_values(page.kvs),
         ).map_error(convert_to_read_failure)
+        if values.is_error():
+            return Error(values.error)
+        for value in values.ok:
+            if not value.key.startswith(prefix):
+                return Error(build_mismatch(f"store {prefix}", value.key))
+        return Ok(values.ok)
 
     async def replace(
         self, key: str, data: bytes, revision: int, lease_id: int = 0
@@ -307,12 +328,14 @@
 
     async def renew_lease(self, lease_id: int) -> Result[int, StoreFailure]:
         response = await self._post("/v3/lease/keepalive", {"ID": str(lease_id)})
-        return convert_response(
-            "store lease",
-            response,
-            RENEWED_ADAPTER,
-            lambda body: body.result.ttl_seconds,
+        renewed = convert_response(
+            "store lease", response, RENEWED_ADAPTER, lambda body: body.result
         )
+        if renewed.is_error():
+            return Error(renewed.error)
+        if renewed.ok.lease_id != lease_id:
+            return Error(build_mismatch("store lease", str(renewed.ok.lease_id)))
+        return Ok(renewed.ok.ttl_seconds)
 
     async def watch(self, key: str, revision: int) -> AsyncIterator[StoredValue]:
         body = {
--- a/libraries/environment/shallotspindle_environment/etcd_test.py
+++ b/libraries/environment/shallotspindle_environment/etcd_test.py
@@ -6,9 +6,15 @@
 from aiohttp import web
 
 from shallotspindle_environment.etcd import EtcdStore
-from shallotspindle_environment.interface import OutcomeUnknown, StoreBusy, StoreFailure
+from shallotspindle_environment.interface import (
+    OutcomeUnknown,
+    StoreBusy,
+    StoredValue,
+    StoreFailure,
+)
 from shallotspindle_environment.listing import HttpInstanceList
 
+HEADER = {"revision": "7"}
 LABELS = {"incarnation": "b", "failure_domain": "d"}
 
 
@@ -72,7 +78,8 @@
             {"key": base64.b64encode(key).decode(), "mod_revision": "3"}
             for key in (b"\xff\xfe", b"sound")
         ]
-        store = EtcdStore(*await start_server(200, json.dumps({"kvs": values})))
+        body = {"header": HEADER, "kvs": values}
+        store = EtcdStore(*await start_server(200, json.dumps(body)))
         assert [item.key for item in (await store.list("s")).ok] == ["sound"]
 
     @pytest.mark.parametrize(
@@ -80,22 +87,65 @@
         [
             "no JSON",
             "[]",
+            "{}",
+            '{"status": "ok"}',
+            '{"kvs": []}',
+            '{"result": {}}',
             '{"kvs": [{}]}',
             '{"kvs": 1}',
             "[" * 100_000,
             '{"kvs": [{"key": "aw==", "mod_revision": 1e999}]}',
             '{"kvs": [{"key": "aw==", "mod_revision": "' + "1" * 5000 + '"}]}',
         ],
-        ids=["text", "list", "no-key", "number", "nested", "infinite", "huge"],
+        ids=[
+            "text",
+            "list",
+            "empty",
+            "status",
+            "no-header",
+            "no-lease",
+            "no-key",
+            "number",
+            "nested",
+            "infinite",
+            "huge",
+        ],
     )
     async def test_malformed_response_to_a_read_is_a_failure(self, start_server, text):
-        # Guards against a malformed response that raises an exception in the caller.
+        # Guards against a malformed response that raises an exception in the caller,
+        # and against a JSON object of another server that looks like an empty store.
         store = EtcdStore(*await start_server(200, text))
         assert type((await store.get("k")).error) is StoreFailure
         assert type((await store.list("k")).error) is StoreFailure
         assert (await store.grant_lease(5)).is_error()
+        assert (await store.renew_lease(5)).is_error()
         assert [entry async for entry in store.watch("k", 1)] == []
 
+    async def test_no_value_is_read_from_a_whole_response(self, start_server):
+        # Guards against a key that counts as unreadable because it does not exist.
+        body = json.dumps({"header": HEADER})
+        store = EtcdStore(*await start_server(200, body))
+        assert (await store.get("k")).ok == StoredValue("k", b"", 0)
+        assert (await store.list("k")).ok == ()
+
+    async def test_a_response_to_another_request_is_a_failure(self, start_server):
+        # Guards against a value or a lease that was not asked for.
+        key = base64.b64encode(b"other").decode()
+        values = [{"key": key, "value": "eA==", "mod_revision": "3"}]
+        renewed = {"ID": "6", "TTL": "5"}
+        body = {"header": HEADER, "kvs": values, "result": renewed}
+        store = EtcdStore(*await start_server(200, json.dumps(body)))
+        assert (await store.get("k")).is_error()
+        assert (await store.list("k")).is_error()
+        assert (await store.renew_lease(5)).is_error()
+        assert (await store.renew_lease(6)).ok == 5
+
+    async def test_an_ended_lease_has_no_time_to_live(self, start_server):
+        # Guards against a lease that is renewed for ever after it has ended.
+        body = json.dumps({"result": {"ID": "5"}})
+        store = EtcdStore(*await start_server(200, body))
+        assert (await store.renew_lease(5)).ok == 0
+
 
 class TestHttpInstanceList:
     @pytest.mark.parametrize("text", ["no JSON", "{}", '[{"targets": ["a"]}]', "[1]"])
