Accept the renewal of a lease only from a peer that was asked

A gateway that the store turns away asks two peers to renew its lease.

Change: the addresses that were asked are kept with the request, and a response of any other sender is ignored; the request then ends without a response, as before. The form of the messages is unchanged.

Test: test_the_response_of_a_peer_that_was_not_asked_is_ignored failed before in both forms; 20 tests on renewals pass.

--- a/libraries/gateway/shallotspindle_gateway/renewals.py
+++ b/libraries/gateway/shallotspindle_gateway/renewals.py
@@ -25,20 +25,25 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingRenewal:
-    """A renewal that no peer has responded to."""
+    """A renewal that no peer has responded to.
+
+    :param peers: addresses of the peers that were asked.
+    """
 
     number: int
     lease_id: int
+    peers: tuple[str, ...]
     response: asyncio.Future[RenewalResponse]
 
-    def matches(self, response: RenewalResponse) -> bool:
+    def matches(self, sender: str, response: RenewalResponse) -> bool:
         """Return whether a response belongs to this request.
 
         The response to an earlier request tells of an earlier renewal, which does not
         extend the lease as far. Releases up to e96edb3 do not tell the number.
         """
         return (
-            response.lease_id == self.lease_id
+            sender in self.peers
+            and response.lease_id == self.lease_id
             and response.number in (self.number, 0)
             and not self.response.done()
         )
@@ -76,8 +81,9 @@
         """
         number = next(self._request_numbers)
         response = asyncio.get_running_loop().create_future()
-        self._pending = PendingRenewal(number, lease_id, response)
-        for address in self._follower.roster.list_peers_to_ask()[:MAX_PEERS_ASKED]:
+        asked = tuple(self._follower.roster.list_peers_to_ask()[:MAX_PEERS_ASKED])
+        self._pending = PendingRenewal(number, lease_id, asked, response)
+        for address in asked:
             self._peers.send(address, RenewalRequest(lease_id, number, era))
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
@@ -119,5 +125,5 @@
         self._peers.send(sender, response)
 
     def _handle_response(self, sender: str, response: RenewalResponse) -> None:
-        if self._pending is not None and self._pending.matches(response):
+        if self._pending is not None and self._pending.matches(sender, response):
             self._pending.response.set_result(response)
--- a/libraries/gateway/shallotspindle_gateway/renewals_test.py
+++ b/libraries/gateway/shallotspindle_gateway/renewals_test.py
@@ -25,8 +25,8 @@
     def send(self, address, message):
         self.sent.append(message)
 
-    def respond(self, response: RenewalResponse) -> None:
-        self.handlers[RenewalResponse](PEER, response)
+    def respond(self, response: RenewalResponse, sender: str = PEER) -> None:
+        self.handlers[RenewalResponse](sender, response)
 
 
 def build_renewals(peers: FakePeers) -> PeerRenewals:
@@ -54,6 +54,17 @@
         peers.respond(RenewalResponse(LEASE, False, earlier.number))
         assert await waiting is None
 
+    @pytest.mark.parametrize("number", [0, None])
+    async def test_the_response_of_a_peer_that_was_not_asked_is_ignored(self, number):
+        # Guards against a lease that counts as renewed, or as ended, although nobody
+        # who was asked called the store.
+        peers = FakePeers()
+        waiting = await ask(build_renewals(peers), peers)
+        if number is None:
+            number = peers.sent[0].number
+        peers.respond(RenewalResponse(LEASE, False, number), "10.0.0.3:1")
+        assert await waiting is None
+
     async def test_the_response_to_the_request_is_used(self):
         peers = FakePeers()
         waiting = await ask(build_renewals(peers), peers)
