Report a key as withdrawn only if the instance names it

"shallotspindle key withdraw" counted any response below 300 as an instance that took the withdrawal, also an empty one or the page of another server. During an outage of the store that alone makes the command end with success ("the key is withdrawn; no bundle carries it yet"), so a wrong address left a lost key in use.

--- a/libraries/operations/shallotspindle_operations/instances.py
+++ b/libraries/operations/shallotspindle_operations/instances.py
@@ -56,6 +56,15 @@
     upstreams: tuple[UpstreamState, ...]
 
 
+class WithdrawalResponse(BaseModel):
+    """Response of ``POST /withdrawals``.
+
+    :param withdrawn: digest of the key that the instance no longer accepts, in hex.
+    """
+
+    withdrawn: str
+
+
 async def call_instance(
     session: aiohttp.ClientSession,
     method: str,
--- a/libraries/operations/shallotspindle_operations/key_commands.py
+++ b/libraries/operations/shallotspindle_operations/key_commands.py
@@ -2,6 +2,7 @@
 
 import secrets
 from pathlib import Path
+from typing import Any
 
 from cyclopts import App
 from expression import Error, Ok, Result
@@ -22,6 +23,7 @@
 )
 from shallotspindle_operations.auditing import AuditFailure
 from shallotspindle_operations.changing import Failures, Operator
+from shallotspindle_operations.instances import InstanceFailure, WithdrawalResponse
 from shallotspindle_operations.outcomes import ExitCode, Outcome
 from shallotspindle_settings import bundle as bundle_format
 from shallotspindle_settings.failures import SettingsFailure
@@ -126,15 +128,32 @@
 ) -> tuple[list[str], list[str]]:
     """Send a withdrawal to instances.
 
+    Only a response that names the key proves that an instance accepted it.
+
     :returns: the addresses of the instances that accepted it, and the failures.
     """
     data = format_withdrawal(withdrawal)
     responses = await instances.call_instances(addresses, "POST", "/withdrawals", data)
-    accepted_by = [address for address, item in responses if item.is_ok()]
-    failed = [str(item.error) for _, item in responses if item.is_error()]
+    checked = [
+        (address, check_withdrawal_response(address, response, withdrawal))
+        for address, response in responses
+    ]
+    accepted_by = [address for address, item in checked if item.is_ok()]
+    failed = [str(item.error) for _, item in checked if item.is_error()]
     return accepted_by, failed
 
 
+def check_withdrawal_response(
+    address: str, response: Result[Any, Failure], withdrawal: Withdrawal
+) -> Result[WithdrawalResponse, Failure]:
+    """Return the response of an instance if it names the key of the withdrawal."""
+    checked = instances.parse_response(WithdrawalResponse, address, response)
+    if checked.is_ok() and checked.ok.withdrawn != withdrawal.digest.hex():
+        named = checked.ok.withdrawn
+        return Error(InstanceFailure(address, "the response is to another key", named))
+    return checked
+
+
 async def publish_withdrawal(
     store: Store,
     operator: Operator,
