Split the tests of responses and the fakes of the gateway

Cause: forwarding_test.py had grown to 689 lines with the tests of rejected responses, and conftest.py held the fakes of the store and of upstreams beside the fleet.

Change: fakes.py has the fakes and the raw upstreams, as in the entry daemon; conftest.py keeps the fleet, the raw caller and the fixtures. endless_responses_test.py has the tests on limits, memory and slow callers; forwarding_test.py those on what counts as a response.

--- a/libraries/gateway/shallotspindle_gateway/borders_test.py
+++ b/libraries/gateway/shallotspindle_gateway/borders_test.py
@@ -16,8 +16,8 @@
 from shallotspindle_entry.upstream_connections import BoundedResponseHandler
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_gateway import stored_forms
-from shallotspindle_gateway.conftest import DocumentDecoder, MemoryStore
 from shallotspindle_gateway.daemon import Daemon
+from shallotspindle_gateway.fakes import DocumentDecoder, MemoryStore
 from shallotspindle_gateway.frontend import build_error_response
 from shallotspindle_gateway.records import Endpoint, Settings
 from shallotspindle_gateway.storage import StoredValue
--- a/libraries/gateway/shallotspindle_gateway/crash_recording_test.py
+++ b/libraries/gateway/shallotspindle_gateway/crash_recording_test.py
@@ -7,8 +7,9 @@
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import FailureDomain, UpstreamName
 from shallotspindle_gateway import crash_recording, stored_forms
-from shallotspindle_gateway.conftest import READY_SECONDS, MemoryStore
+from shallotspindle_gateway.conftest import READY_SECONDS
 from shallotspindle_gateway.crash_recording import CrashRecorder
+from shallotspindle_gateway.fakes import MemoryStore
 from shallotspindle_gateway.records import Endpoint, Member
 from shallotspindle_gateway.storage import StoredValue
 from shallotspindle_lending.crashes import (
--- a/libraries/gateway/shallotspindle_gateway/daemon_test.py
+++ b/libraries/gateway/shallotspindle_gateway/daemon_test.py
@@ -9,15 +9,8 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import following, ownership, slot_requester
-from shallotspindle_gateway.conftest import (
-    NAMES,
-    SERVICE,
-    MemoryStore,
-    RawCaller,
-    RejectingStore,
-    build_order,
-    start_gateway,
-)
+from shallotspindle_gateway.conftest import RawCaller, build_order, start_gateway
+from shallotspindle_gateway.fakes import NAMES, SERVICE, MemoryStore, RejectingStore
 from shallotspindle_gateway.records import Bounds
 from shallotspindle_lending.records import Outcome
 
--- a/libraries/gateway/shallotspindle_gateway/following_test.py
+++ b/libraries/gateway/shallotspindle_gateway/following_test.py
@@ -14,7 +14,7 @@
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_environment.interface import StoreFailure
 from shallotspindle_gateway import following, peer_roster
-from shallotspindle_gateway.conftest import SERVICE, DocumentDecoder
+from shallotspindle_gateway.fakes import SERVICE, DocumentDecoder
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.messages import ChangesRequest, ChangesResponse, ViewRequest
 from shallotspindle_gateway.peer_responses import ReceivedResponse
--- a/libraries/gateway/shallotspindle_gateway/frontend_test.py
+++ b/libraries/gateway/shallotspindle_gateway/frontend_test.py
@@ -5,7 +5,8 @@
 
 from shallotspindle_entry.caller_memory import MemoryLimits
 from shallotspindle_gateway import bodies
-from shallotspindle_gateway.conftest import NAMES, RawCaller, build_order
+from shallotspindle_gateway.conftest import RawCaller, build_order
+from shallotspindle_gateway.fakes import NAMES
 from shallotspindle_gateway.records import Bounds
 
 LIMITS = {
--- a/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
+++ b/libraries/gateway/shallotspindle_gateway/malformed_entries_test.py
@@ -10,8 +10,9 @@
 
 from shallotspindle_core.addresses import SocketAddress, parse_address
 from shallotspindle_gateway import ownership, stored_forms
-from shallotspindle_gateway.conftest import SERVICE, start_gateway
+from shallotspindle_gateway.conftest import start_gateway
 from shallotspindle_gateway.daemon import create_datagram_socket
+from shallotspindle_gateway.fakes import SERVICE
 from shallotspindle_gateway.messages import ChangesRequest, TokenRequest
 from shallotspindle_gateway.peers import PeerTransport
 from shallotspindle_gateway.records import Endpoint, PartitionHolder
--- a/libraries/gateway/shallotspindle_gateway/ownership_test.py
+++ b/libraries/gateway/shallotspindle_gateway/ownership_test.py
@@ -7,7 +7,7 @@
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import FailureDomain
 from shallotspindle_environment.interface import StoreFailure
-from shallotspindle_gateway.conftest import DocumentDecoder, MemoryStore, RejectingStore
+from shallotspindle_gateway.fakes import DocumentDecoder, MemoryStore, RejectingStore
 from shallotspindle_gateway.following import StoreFollower
 from shallotspindle_gateway.following_test import ScriptedPeers
 from shallotspindle_gateway.messages import RenewalResponse
--- a/libraries/gateway/shallotspindle_gateway/spreading_test.py
+++ b/libraries/gateway/shallotspindle_gateway/spreading_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from shallotspindle_gateway.conftest import SERVICE, RejectingStore
+from shallotspindle_gateway.fakes import SERVICE, RejectingStore
 from shallotspindle_gateway.records import Endpoint
 
 pytestmark = pytest.mark.usefixtures("no_startup_delay")
--- a/libraries/gateway/shallotspindle_gateway/stopping_test.py
+++ b/libraries/gateway/shallotspindle_gateway/stopping_test.py
@@ -5,13 +5,8 @@
 
 from shallotspindle_environment.clock import SystemClock
 from shallotspindle_gateway import ownership
-from shallotspindle_gateway.conftest import (
-    LARGE_BYTES,
-    SERVICE,
-    RawCaller,
-    build_order,
-    start_gateway,
-)
+from shallotspindle_gateway.conftest import RawCaller, build_order, start_gateway
+from shallotspindle_gateway.fakes import LARGE_BYTES, SERVICE
 from shallotspindle_gateway.records import Bounds
 from shallotspindle_gateway.stopping import StopPlan
 
--- a/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
+++ b/libraries/gateway/shallotspindle_gateway/upstream_notices_test.py
@@ -5,12 +5,8 @@
 
 import pytest
 
-from shallotspindle_gateway.conftest import (
-    NAMES,
-    SERVICE,
-    RejectingStore,
-    start_gateway,
-)
+from shallotspindle_gateway.conftest import start_gateway
+from shallotspindle_gateway.fakes import NAMES, SERVICE, RejectingStore
 from shallotspindle_lending.records import RefusalReason
 from shallotspindle_notices.notices import Notice
 
