Move the messages of the balancing task to a module of their own

Two tests of operations ran the same server with one fixed response.

Change: balancing_messages.py has the eight messages; fakes.py of operations has the server.

--- a/libraries/entry/shallotspindle_entry/balancing.py
+++ b/libraries/entry/shallotspindle_entry/balancing.py
@@ -21,6 +21,16 @@
     UpstreamName,
 )
 from shallotspindle_core.randomness import RandomSource
+from shallotspindle_entry.balancing_messages import (
+    CrashStored,
+    HealthMessageReceived,
+    LeavingUpstreamsChanged,
+    ServicesChanged,
+    ServiceSnapshot,
+    SnapshotRequest,
+    Tick,
+    UnstoredCrashesRequest,
+)
 from shallotspindle_entry.interfaces import (
     Assignment,
     AttemptSample,
@@ -29,7 +39,7 @@
     RequestHeld,
 )
 from shallotspindle_entry.tasks import InboxTask
-from shallotspindle_health.detection import ServiceHealth, UpstreamDescription
+from shallotspindle_health.detection import ServiceHealth
 from shallotspindle_health.messages import CrashNotice, SuspicionReport
 from shallotspindle_health.monitor import HealthMessage, HealthMonitor, ServiceUpstreams
 from shallotspindle_health.scoring import Outcome
@@ -49,66 +59,6 @@
 MIN_USABLE_UPSTREAMS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class ServicesChanged:
-    """Services and teams of a bundle that became active."""
-
-    services: Mapping[ServiceName, Service]
-    teams: Mapping[TeamName, Team]
-
-
-@dataclass(frozen=True, slots=True)
-class LeavingUpstreamsChanged:
-    """All upstreams that the platform's list marks as leaving."""
-
-    upstreams: frozenset[UpstreamName]
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Asks for the periodic work of the task."""
-
-
-@dataclass(frozen=True, slots=True)
-class SnapshotRequest:
-    """Asks for the state of all services, for operators."""
-
-
-@dataclass(frozen=True, slots=True)
-class HealthMessageReceived:
-    """A peer reported suspicions or a crash, or the store holds a crash."""
-
-    message: HealthMessage
-
-
-@dataclass(frozen=True, slots=True)
-class UnstoredCrashesRequest:
-    """Asks for the quarantined requests that this instance has to store."""
-
-
-@dataclass(frozen=True, slots=True)
-class CrashStored:
-    """The store holds a quarantined request."""
-
-    fingerprint: int
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceSnapshot:
-    """State of a service for operators.
-
-    :param subset: upstreams that this instance sends requests to.
-    :param queue_length: requests that wait for an upstream.
-    :param concurrency_limit: requests that this instance may have in flight.
-    """
-
-    service: ServiceName
-    upstreams: tuple[UpstreamDescription, ...]
-    subset: tuple[UpstreamName, ...]
-    queue_length: int
-    concurrency_limit: float
-
-
 def identify(upstream: Upstream) -> tuple[UpstreamName, str]:
     """Return what identifies an upstream; bundles do not name its incarnation."""
     return (upstream.name, upstream.address)
--- a/libraries/entry/shallotspindle_entry/balancing_test.py
+++ b/libraries/entry/shallotspindle_entry/balancing_test.py
@@ -7,8 +7,9 @@
 from shallotspindle_bundles.records import Service, Team, Upstream
 from shallotspindle_core.clock import ManualClock
 from shallotspindle_core.identifiers import Instance
-from shallotspindle_entry import balancing
-from shallotspindle_entry.balancing import BalancingTask, LeavingUpstreamsChanged
+from shallotspindle_entry import balancing, balancing_messages
+from shallotspindle_entry.balancing import BalancingTask
+from shallotspindle_entry.balancing_messages import LeavingUpstreamsChanged
 from shallotspindle_entry.interfaces import (
     Assignment,
     AttemptSample,
@@ -55,7 +56,7 @@
     async def apply_services(self, draining=()):
         service = Service("stock", build_upstreams(draining), floor=2)
         teams = {"team": Team("team", 10.0, 10.0)}
-        message = balancing.ServicesChanged({"stock": service}, teams)
+        message = balancing_messages.ServicesChanged({"stock": service}, teams)
         await self.task.handle(message)
 
     async def assign(
@@ -121,7 +122,7 @@
         await asyncio.gather(queued_request, return_exceptions=True)
         for assignment in assignments:
             harness.task.finish(assignment, AttemptSample(Outcome.COMPLETE, 0.02))
-        snapshot = await harness.task.handle(balancing.SnapshotRequest())
+        snapshot = await harness.task.handle(balancing_messages.SnapshotRequest())
         assert snapshot[0].queue_length == 0
         assert len(await harness.serve_requests(50)) == 50
 
@@ -132,7 +133,7 @@
         queued_request = asyncio.create_task(harness.assign(timeout_seconds=1.0))
         await asyncio.sleep(0)
         harness.clock.advance(1.0)
-        await harness.task.handle(balancing.Tick())
+        await harness.task.handle(balancing_messages.Tick())
         assert isinstance(await queued_request, NoCapacity)
 
 
@@ -158,7 +159,7 @@
         # The second tick comes after the time in which its share grows again.
         for _ in range(2):
             harness.clock.advance(balancing.DRAINING_EXPIRY_SECONDS)
-            await harness.task.handle(balancing.Tick())
+            await harness.task.handle(balancing_messages.Tick())
         assert name in await harness.serve_requests(50)
 
 
@@ -168,7 +169,7 @@
         name = await harness.receive_notice(Notice(pause_seconds=2.0))
         assert name not in await harness.serve_requests(50)
         harness.clock.advance(2.0)
-        await harness.task.handle(balancing.Tick())
+        await harness.task.handle(balancing_messages.Tick())
         assert name in await harness.serve_requests(50)
 
     async def test_request_that_cannot_wait_is_refused_at_once(self, harness):
@@ -188,7 +189,7 @@
         await asyncio.sleep(0)
         assert not waiting.done()
         harness.clock.advance(1.0)
-        await harness.task.handle(balancing.Tick())
+        await harness.task.handle(balancing_messages.Tick())
         assert isinstance(await waiting, Assignment)
 
 
@@ -211,9 +212,9 @@
             is_faulty = assignment.upstream.name == "u0"
             outcome = Outcome.TRUNCATED if is_faulty else Outcome.COMPLETE
             harness.task.finish(assignment, AttemptSample(outcome, 0.02))
-        await harness.task.handle(balancing.Tick())
+        await harness.task.handle(balancing_messages.Tick())
         assert harness.peers.gossiped_messages[-1].suspicions[0].upstream == "u0"
-        snapshot = await harness.task.handle(balancing.SnapshotRequest())
+        snapshot = await harness.task.handle(balancing_messages.SnapshotRequest())
         description = next(item for item in snapshot[0].upstreams if item.name == "u0")
         assert (description.state, description.reasons[0]) == ("ejected", "truncated")
 
--- a/libraries/entry/shallotspindle_entry/coordination.py
+++ b/libraries/entry/shallotspindle_entry/coordination.py
@@ -16,7 +16,8 @@
 )
 from shallotspindle_entry import admission, bundle_messages, claims
 from shallotspindle_entry.admission import AdmissionTask, BundleLimits
-from shallotspindle_entry.balancing import BalancingTask, ServicesChanged
+from shallotspindle_entry.balancing import BalancingTask
+from shallotspindle_entry.balancing_messages import ServicesChanged
 from shallotspindle_entry.bundle_loading import Configuration
 from shallotspindle_entry.bundle_messages import PeerStateSummary
 from shallotspindle_entry.claims import ClaimsTask
--- a/libraries/entry/shallotspindle_entry/crash_storing.py
+++ b/libraries/entry/shallotspindle_entry/crash_storing.py
@@ -14,8 +14,8 @@
 from aiomisc import Service
 
 from shallotspindle_core.clock import Clock
-from shallotspindle_entry.balancing import (
-    BalancingTask,
+from shallotspindle_entry.balancing import BalancingTask
+from shallotspindle_entry.balancing_messages import (
     CrashStored,
     HealthMessageReceived,
     UnstoredCrashesRequest,
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -16,7 +16,7 @@
 
 from shallotspindle_entry import caller_memory, certificates
 from shallotspindle_entry.administration import Administration
-from shallotspindle_entry.balancing import SnapshotRequest
+from shallotspindle_entry.balancing_messages import SnapshotRequest
 from shallotspindle_entry.certificates import CertificateReloader
 from shallotspindle_entry.coordination import CoordinationTasks
 from shallotspindle_entry.execution import Executor
--- a/libraries/operations/shallotspindle_operations/instances_test.py
+++ b/libraries/operations/shallotspindle_operations/instances_test.py
@@ -1,10 +1,8 @@
-import asyncio
-
 import pytest
-from aiohttp import web
 
 from shallotspindle_environment.interface import OutcomeUnknown
 from shallotspindle_operations import instances
+from shallotspindle_operations.fakes import run_server
 
 
 class TestCallInstance:
@@ -15,15 +13,7 @@
     )
     async def test_a_malformed_response_is_a_failure(self, text):
         # Guards against a command that ends with a traceback because of one instance.
-        async def serve(request):
-            return web.Response(text=text)
-
-        server = web.Server(serve, access_log=None)
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, "127.0.0.1", 0)
-        host, port = listener.sockets[0].getsockname()
-        responses = await instances.call_instances([f"{host}:{port}"], "GET", "/state")
-        listener.close()
-        await server.shutdown(0)
+        async with run_server(200, text) as address:
+            responses = await instances.call_instances([address], "GET", "/state")
         ((_, response),) = responses
         assert isinstance(response.error, OutcomeUnknown)
--- a/libraries/operations/shallotspindle_operations/key_commands_test.py
+++ b/libraries/operations/shallotspindle_operations/key_commands_test.py
@@ -1,14 +1,12 @@
-import asyncio
 import json
-from contextlib import asynccontextmanager
 
 import pytest
-from aiohttp import web
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from shallotspindle_bundles import withdrawals
 from shallotspindle_bundles.withdrawals import Withdrawal
 from shallotspindle_operations import key_commands
+from shallotspindle_operations.fakes import run_server
 
 DIGEST = b"a" * 32
 WITHDRAWAL = withdrawals.sign(
@@ -17,22 +15,6 @@
 )
 
 
-@asynccontextmanager
-async def run_server(status, text):
-    """Run a server with one fixed response and yield its address."""
-
-    async def serve(request):
-        return web.Response(status=status, text=text)
-
-    server = web.Server(serve, access_log=None)
-    loop = asyncio.get_running_loop()
-    listener = await loop.create_server(server, "127.0.0.1", 0)
-    host, port = listener.sockets[0].getsockname()
-    yield f"{host}:{port}"
-    listener.close()
-    await server.shutdown(0)
-
-
 class TestWithdrawal:
     @pytest.mark.parametrize(
         ("status", "text"),
