Name the check of a response's head

Cause: the reading of the diff as a newcomer. The check stood inline in the exchange, and the reason why it comes first had left with the code that it replaced.

Change: Forwarder._check_head with that reason. Behaviour is unchanged; the tests of forwarding, response_checks and upstream_notices pass.

--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -228,11 +228,7 @@
                 total=request.timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
         ) as response:
-            fault = response_checks.find_head_fault(
-                self._header_names, request.headers, response.status, response.headers
-            )
-            if fault is not None:
-                raise ResponseAbortedError(fault)
+            self._check_head(request, response)
             self._report_notice(request, response)
             connection = response.connection
             protocol = connection.protocol if connection is not None else None
@@ -243,6 +239,21 @@
                 return Outcome.TRUNCATED, None, False
             return self._classify_response(response, body)
 
+    def _check_head(
+        self, request: UpstreamRequest, response: aiohttp.ClientResponse
+    ) -> None:
+        """Check a response before anything that it states is used.
+
+        A refusal of another request, for one, proves nothing about this one.
+
+        :raises ResponseAbortedError: if nothing vouches for the response.
+        """
+        fault = response_checks.find_head_fault(
+            self._header_names, request.headers, response.status, response.headers
+        )
+        if fault is not None:
+            raise ResponseAbortedError(fault)
+
     def _report_notice(
         self, request: UpstreamRequest, response: aiohttp.ClientResponse
     ) -> None:
