Let an entry daemon require the request id in responses of upstreams

The entry daemon passes a response without an id on as long as it has a length, and keeps it as the result of a deposit: a page of another server at an upstream's address is then replayed to each retry with the same idempotency key. Its interface asks upstreams to echo X-Request-Id and does not require it, so rejecting every such response would end service where upstreams do not.

Change: the setting require_request_ids, off by default. With it a response without the id fails the attempt before its load, its notices or a refusal count: a read is retried under the usual rules, a deposit ends with 502 and the outcome unknown, the upstream is charged with a truncated response.

--- a/libraries/entry/shallotspindle_entry/conftest.py
+++ b/libraries/entry/shallotspindle_entry/conftest.py
@@ -122,6 +122,7 @@
     admission: fakes.UnlimitedAdmission
     claims: fakes.LocalClaims
     balancer: fakes.LocalBalancer
+    executor: Executor
 
     async def send(self, data: bytes) -> bytes:
         """Send raw bytes and return everything received until the connection ends."""
@@ -186,6 +187,7 @@
         admission,
         claims,
         balancer,
+        executor,
     )
     await frontend.stop()
     await forwarder.stop()
--- a/libraries/entry/shallotspindle_entry/daemon.py
+++ b/libraries/entry/shallotspindle_entry/daemon.py
@@ -96,7 +96,11 @@
 
     def _build_frontend(self) -> tuple[Frontend, list[Service]]:
         executor = Executor(
-            self._coordination.balancing, self._forwarder, self._clock, self._random
+            self._coordination.balancing,
+            self._forwarder,
+            self._clock,
+            self._random,
+            self._settings.require_request_ids,
         )
         pipeline = Pipeline(
             self._configuration,
--- a/libraries/entry/shallotspindle_entry/exchanges.py
+++ b/libraries/entry/shallotspindle_entry/exchanges.py
@@ -35,6 +35,11 @@
     """The response names another request."""
 
 
+@dataclass(frozen=True, slots=True)
+class UnnamedAnswer(Failure):
+    """The response does not name its request, as the settings require."""
+
+
 @dataclass(frozen=True, slots=True)
 class UnframedAnswer(Failure):
     """The response does not state its length, so a truncation would go unnoticed."""
@@ -74,12 +79,18 @@
         return AttemptSample(self.outcome, self.duration_seconds, self.load)
 
 
-def check_response(response: aiohttp.ClientResponse, call: Call) -> None:
+def check_response(
+    response: aiohttp.ClientResponse, call: Call, requires_request_id: bool
+) -> None:
     """Raise if a response may belong to another request or have no certain end.
 
-    :raises FailureError: with ``CrossedAnswer`` or ``UnframedAnswer``.
+    :param requires_request_id: whether a response must name its request.
+    :raises FailureError: with ``CrossedAnswer``, ``UnnamedAnswer`` or
+        ``UnframedAnswer``.
     """
     named_request_id = response.headers.get(headers.REQUEST_ID)
+    if requires_request_id and named_request_id is None:
+        raise FailureError(UnnamedAnswer("upstream", "the response names no request"))
     if named_request_id is not None and named_request_id != call.request_id:
         raise FailureError(
             CrossedAnswer(
@@ -111,6 +122,7 @@
     """Sends a request to upstreams and streams the response to the caller.
 
     :param record_notice: called with what a response says of its upstream.
+    :param requires_request_id: whether a response must name its request.
     """
 
     def __init__(
@@ -120,8 +132,10 @@
         request: web.Request,
         call: Call,
         record_notice: Callable[[Upstream, Notice], None],
+        requires_request_id: bool,
     ) -> None:
         self._record_notice = record_notice
+        self._requires_request_id = requires_request_id
         self._forwarder = forwarder
         self._clock = clock
         self._request = request
@@ -162,7 +176,7 @@
             remaining_seconds,
             call.is_idempotent,
         ) as response:
-            check_response(response, call)
+            check_response(response, call, self._requires_request_id)
             attempt.load = headers.read_load(response.headers)
             notice = headers.read_notice(response.status, response.headers)
             if notice is not NO_NOTICE:
--- a/libraries/entry/shallotspindle_entry/execution.py
+++ b/libraries/entry/shallotspindle_entry/execution.py
@@ -64,7 +64,11 @@
 
 
 class Executor:
-    """Tries upstreams for a call; keeps no state between calls."""
+    """Tries upstreams for a call; keeps no state between calls.
+
+    :param requires_request_id: whether upstreams repeat the id of a request in every
+        response, so that one without it is rejected.
+    """
 
     def __init__(
         self,
@@ -72,7 +76,9 @@
         forwarder: Forwarder,
         clock: Clock,
         random: RandomSource,
+        requires_request_id: bool = False,
     ) -> None:
+        self.requires_request_id = requires_request_id
         self._balancer = balancer
         self._forwarder = forwarder
         self._clock = clock
@@ -87,7 +93,12 @@
             what is known of it.
         """
         exchange = Exchange(
-            self._forwarder, self._clock, request, call, self._balancer.record_notice
+            self._forwarder,
+            self._clock,
+            request,
+            call,
+            self._balancer.record_notice,
+            self.requires_request_id,
         )
         fingerprint = calls.fingerprint_request(call)
         tried_upstreams: frozenset[UpstreamName] = frozenset()
--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -255,6 +255,72 @@
         assert b"whole" in await proxy.get()
 
 
+class TestRequiredRequestIds:
+    PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n<html>"
+
+    @pytest.fixture(autouse=True)
+    def require_request_ids(self, proxy):
+        proxy.executor.requires_request_id = True
+
+    @staticmethod
+    def send_page(proxy, page):
+        """Return a script that sends a page without the id of the request."""
+
+        async def run(reader, writer):
+            await proxy.upstream.read_head(reader)
+            writer.write(page)
+            await writer.drain()
+
+        return run
+
+    async def test_read_is_retried_after_a_page(self, proxy):
+        # Guards against a caller that gets a page of a faulty upstream.
+        proxy.upstream.scripts = [
+            self.send_page(proxy, self.PAGE),
+            proxy.upstream.respond(OK_RESPONSE),
+        ]
+        assert b"whole" in await proxy.get()
+        assert proxy.balancer.samples[0].outcome is Outcome.TRUNCATED
+
+    async def test_page_is_never_the_result_of_a_deposit(self, proxy):
+        # Guards against a page that is kept as the response to a deposit.
+        deposit = post("/deposits", "x", "Idempotency-Key: k1")
+        proxy.upstream.scripts = [
+            self.send_page(proxy, self.PAGE),
+            proxy.upstream.respond(OK_RESPONSE),
+        ]
+        for _ in range(2):
+            response = await proxy.send(deposit)
+            assert b"<html>" not in response
+            assert read_problem(response)["outcome"] == "unknown"
+        assert proxy.upstream.connections == 1
+
+    async def test_refusal_without_an_id_proves_nothing(self, proxy):
+        # Guards against a deposit that runs again because a page denied it.
+        shed = (
+            b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        proxy.upstream.scripts = [self.send_page(proxy, shed)]
+        response = await proxy.send(post("/deposits", "x", "Idempotency-Key: k1"))
+        assert read_problem(response)["outcome"] == "unknown"
+        assert proxy.upstream.connections == 1
+
+    @pytest.mark.parametrize(
+        "response",
+        [
+            OK_RESPONSE,
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+        ],
+    )
+    async def test_response_with_the_id_is_passed_on(self, proxy, response):
+        # Guards against an upstream's own response that is rejected.
+        proxy.upstream.scripts = [proxy.upstream.respond(response)]
+        assert (await proxy.get()).startswith(response.partition(b"\r\n")[0])
+
+
 class TestRetries:
     async def test_idempotent_request_is_retried_at_another_upstream(self, proxy):
         # Guards against an error response where a retry is safe.
--- a/libraries/settings/shallotspindle_settings/daemon.py
+++ b/libraries/settings/shallotspindle_settings/daemon.py
@@ -64,6 +64,8 @@
         stated.
     :param max_descriptors: open descriptors that the process may have; 0 if none is
         stated.
+    :param require_request_ids: whether upstreams repeat the id of a request in every
+        response, so that one without it is rejected.
     :param stop_wait_seconds: time between readiness false and the end of accepting.
     """
 
@@ -81,6 +83,7 @@
     fleet_secret: str = Field(pattern=r"^[0-9a-f]{64}$")
     memory_mb: float = Field(default=0.0, ge=0, le=MAX_MEMORY_MB)
     max_descriptors: int = Field(default=0, ge=0, le=MAX_DESCRIPTORS)
+    require_request_ids: bool = False
     stop_wait_seconds: Seconds = 5.0
     stop_limit_seconds: Seconds = 60.0
 
