Use the field's words for the validation of responses

Cause: the reading of the diff as a newcomer.

Change: wording and two names in forwarding_test.py; no behaviour. 95 tests of forwarding and response_checks pass.

--- a/libraries/entry/shallotspindle_entry/borders_test.py
+++ b/libraries/entry/shallotspindle_entry/borders_test.py
@@ -55,7 +55,7 @@
     )
     def test_a_load_that_is_none_is_ignored(self, text):
         # Guards against one response that keeps the average load of a service infinite,
-        # which reduces its concurrent requests to the minimum for good.
+        # which reduces its concurrent requests to the minimum until the restart.
         assert headers.read_load({headers.LOAD: text}) is None
 
     @pytest.mark.parametrize(("text", "load"), [("0", 0.0), ("1.5", 1.5), ("1e3", 1e3)])
--- a/libraries/gateway/shallotspindle_gateway/forwarding.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding.py
@@ -124,8 +124,8 @@
 class Forwarder(Service):
     """Owns the connections to upstreams.
 
-    :param header_names: the headers that vouch for a response and by which an upstream
-        states that it did not run a request, or that it leaves.
+    :param header_names: the headers by which a response is validated, and by which an
+        upstream states that it did not run a request, or that it leaves.
     :param record_notice: called with what a response says of its upstream, as soon as
         its head has arrived.
     :param errors: counts unexpected errors. An attempt that ends with one must still
@@ -242,11 +242,11 @@
     def _check_head(
         self, request: UpstreamRequest, response: aiohttp.ClientResponse
     ) -> None:
-        """Check a response before anything that it states is used.
+        """Validate a response before anything that it states is used.
 
         A refusal of another request, for one, proves nothing about this one.
 
-        :raises ResponseAbortedError: if nothing vouches for the response.
+        :raises ResponseAbortedError: if the response is invalid.
         """
         fault = response_checks.find_head_fault(
             self._header_names, request.headers, response.status, response.headers
--- a/libraries/gateway/shallotspindle_gateway/forwarding_test.py
+++ b/libraries/gateway/shallotspindle_gateway/forwarding_test.py
@@ -137,7 +137,7 @@
 PAGE = b"Content-Type: text/html\r\nContent-Length: 5\r\n\r\n<html"
 # What an upstream may send in place of its response to request r1, and why it is
 # rejected.
-UNVOUCHED_RESPONSES = {
+INVALID_RESPONSES = {
     "page": (STATUS_LINE + PAGE, ResponseFault.UNNAMED),
     "page-of-a-failure": (b"HTTP/1.1 500 E\r\n" + PAGE, ResponseFault.UNNAMED),
     "page-of-a-client-error": (b"HTTP/1.1 404 N\r\n" + PAGE, ResponseFault.UNNAMED),
@@ -189,9 +189,9 @@
     return replace(request, headers={NAMES.request_id: "r1"})
 
 
-class TestUnvouchedResponses:
+class TestInvalidResponses:
     @pytest.mark.parametrize(
-        ("response", "fault"), UNVOUCHED_RESPONSES.values(), ids=UNVOUCHED_RESPONSES
+        ("response", "fault"), INVALID_RESPONSES.values(), ids=INVALID_RESPONSES
     )
     async def test_one_proves_neither_success_nor_failure(
         self, forwarder, upstreams, response, fault
--- a/libraries/gateway/shallotspindle_gateway/response_checks.py
+++ b/libraries/gateway/shallotspindle_gateway/response_checks.py
@@ -1,4 +1,4 @@
-"""Checks of what vouches for a response of an upstream.
+"""Validates the head of a response of an upstream.
 
 A faulty upstream may send bytes that belong to no request, such as the page of another
 server, and they may be a complete HTTP response. What such a response states is not
