Share the refusal that two tests of the entry daemon send

Cause: the reading of the diff; two tests built the same response.

Change: SHED_RESPONSE in frontend_test.py.

--- a/libraries/entry/shallotspindle_entry/frontend_test.py
+++ b/libraries/entry/shallotspindle_entry/frontend_test.py
@@ -14,6 +14,9 @@
 from shallotspindle_notices.notices import Notice
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+SHED_RESPONSE = (
+    b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+)
 HEADERS = "Host: shop.test\r\nAuthorization: Bearer museum-key\r\n"
 
 
@@ -297,11 +300,7 @@
 
     async def test_refusal_without_an_id_proves_nothing(self, proxy):
         # Guards against a deposit that runs again because a page denied it.
-        shed = (
-            b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\n"
-            b"Content-Length: 0\r\n\r\n"
-        )
-        proxy.upstream.scripts = [self.send_page(proxy, shed)]
+        proxy.upstream.scripts = [self.send_page(proxy, SHED_RESPONSE)]
         response = await proxy.send(post("/deposits", "x", "Idempotency-Key: k1"))
         assert read_problem(response)["outcome"] == "unknown"
         assert proxy.upstream.connections == 1
@@ -346,12 +345,8 @@
     async def test_shed_deposit_is_retried_if_it_did_not_run(self, proxy):
         # Guards against an error response where the upstream certainly did not run the
         # request.
-        shed = (
-            b"HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\n"
-            b"Content-Length: 0\r\n\r\n"
-        )
         proxy.upstream.scripts = [
-            proxy.upstream.respond(shed),
+            proxy.upstream.respond(SHED_RESPONSE),
             proxy.upstream.respond(OK_RESPONSE),
         ]
         response = await proxy.send(post("/deposits", "x", "Idempotency-Key: k1"))
